--- /dev/null
+++ b/crates/codes/src/code.rs
@@ -0,0 +1,201 @@
+//! Result codes.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Whether a request was executed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Executed {
+    /// No byte of the request left for an endpoint.
+    Never,
+    /// A whole answer was received from an endpoint.
+    Completed,
+    /// The request was sent and its outcome is not known.
+    Unknown,
+}
+
+impl fmt::Display for Executed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Never => "never",
+            Self::Completed => "completed",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
+/// Group of codes, the thousands of their numbers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    /// The request itself is at fault.
+    Request,
+    /// The system sheds load or is not able to serve.
+    Capacity,
+    /// Idempotency and quarantine.
+    Safety,
+    /// The endpoint failed after the request was sent.
+    Endpoint,
+    /// Operators' commands.
+    Operator,
+}
+
+macro_rules! codes {
+    ($($(#[doc = $doc:literal])* $name:ident = $number:literal, $status:literal,
+        $executed:ident, $retry:literal, $title:literal;)*) => {
+        /// Numbered result of a request or a command.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        pub enum Code {
+            $($(#[doc = $doc])* $name,)*
+        }
+
+        impl Code {
+            /// Every code, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Stable number.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// HTTP status that carries the code.
+            #[must_use]
+            pub const fn status(self) -> u16 {
+                match self { $(Self::$name => $status,)* }
+            }
+
+            /// Whether a request that ends so was executed.
+            #[must_use]
+            pub const fn executed(self) -> Executed {
+                match self { $(Self::$name => Executed::$executed,)* }
+            }
+
+            /// Seconds after which a retry makes sense; zero when none does.
+            #[must_use]
+            pub const fn retry_after_s(self) -> u32 {
+                match self { $(Self::$name => $retry,)* }
+            }
+
+            /// Short summary.
+            #[must_use]
+            pub const fn title(self) -> &'static str {
+                match self { $(Self::$name => $title,)* }
+            }
+
+            /// Meaning and remedy, as the documentation prints it.
+            #[must_use]
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$name => concat!($($doc),*),)* }
+            }
+        }
+    };
+}
+
+codes! {
+    /// The request cannot be parsed: bad JSON, a missing field or an invalid header.
+    Malformed = 1001, 400, Never, 0, "Malformed request";
+    /// The body is larger than the gateway's `limits.body` setting.
+    BodyTooLarge = 1002, 413, Never, 0, "Body too large";
+    /// No service file in force declares the service or model.
+    UnknownService = 1003, 404, Never, 0, "Unknown service";
+    /// The service file does not declare the tier.
+    UnknownTier = 1004, 400, Never, 0, "Tier not declared";
+    /// The operation is non-idempotent and the request carries no `Idempotency-Key`.
+    MissingKey = 1005, 400, Never, 0, "Idempotency key required";
+    /// The service file declares neither the path nor the method.
+    UnknownOperation = 1006, 404, Never, 0, "Unknown operation";
+    /// The body did not arrive within the gateway's `limits.body_timeout_ms`.
+    SlowSender = 1007, 408, Never, 0, "Body not received in time";
+    /// The queue is full; lower tiers are shed before higher ones.
+    QueueFull = 2001, 503, Never, 1, "Shed: queue full";
+    /// The deadline would pass before an answer; nothing was sent.
+    DeadlineUnmeetable = 2002, 503, Never, 1, "Shed: deadline cannot be met";
+    /// The gateway is draining and its deadline passed while the request waited.
+    Draining = 2003, 503, Never, 1, "Gateway is draining";
+    /// The gateway has no configuration in force yet or has just resumed after a pause.
+    NotReady = 2004, 503, Never, 1, "Gateway not ready";
+    /// No live endpoint serves the service.
+    NoEndpoint = 2005, 503, Never, 2, "No live endpoint";
+    /// The gateway holds as many requests as its `limits.requests` allows.
+    TooManyRequests = 2006, 503, Never, 1, "Gateway at its request limit";
+    /// The claim table cannot be reached, so a non-idempotent request is not run.
+    ClaimUnavailable = 3001, 503, Never, 5, "Idempotency claim unavailable";
+    /// An earlier attempt with this key is running or its outcome was lost; it is not run again.
+    KeyInDoubt = 3002, 409, Unknown, 5, "Earlier attempt in doubt";
+    /// The key was used before with a different request.
+    KeyReused = 3003, 422, Never, 0, "Idempotency key reused for another request";
+    /// The request crashed endpoints before and is quarantined for a while.
+    Quarantined = 3004, 403, Never, 60, "Request quarantined";
+    /// No connection to the granted endpoint could be made; no byte was sent.
+    Unreachable = 4001, 502, Never, 1, "Endpoint unreachable";
+    /// The connection ended before the answer was whole.
+    AnswerCut = 4002, 502, Unknown, 1, "Answer cut";
+    /// The endpoint did not answer before the deadline; the request was cancelled there.
+    EndpointTimeout = 4003, 504, Unknown, 1, "Endpoint timed out";
+    /// The endpoint answered with an error of its own, passed on in the detail.
+    EndpointError = 4004, 502, Unknown, 1, "Endpoint failed";
+    /// The gateway's shutdown deadline passed while the answer was in progress.
+    ShutdownCut = 4005, 503, Unknown, 1, "Gateway shut down during the answer";
+    /// A service file is not valid; the message names file, line and key.
+    InvalidServiceFile = 5001, 422, Never, 0, "Invalid service file";
+    /// Another publication won the race; its version is in the message.
+    PublishConflict = 5002, 409, Never, 0, "Another publication won";
+    /// The platform's store cannot be reached; nothing was published.
+    StoreUnavailable = 5003, 503, Never, 5, "Store unavailable";
+    /// The store did not confirm and could not be read back; check `log` before publishing again.
+    PublishInDoubt = 5004, 504, Unknown, 5, "Publication in doubt";
+    /// Settings are not valid; nothing was bound.
+    InvalidSettings = 5005, 422, Never, 0, "Invalid settings";
+    /// The named gateway cannot be reached.
+    GatewayUnreachable = 5006, 502, Never, 1, "Gateway unreachable";
+}
+
+impl Code {
+    /// Group of the code.
+    #[must_use]
+    pub const fn group(self) -> Group {
+        match self.number() / 1000 {
+            1 => Group::Request,
+            2 => Group::Capacity,
+            3 => Group::Safety,
+            4 => Group::Endpoint,
+            _ => Group::Operator,
+        }
+    }
+
+    /// Page of `docs/result-codes.md`.
+    #[must_use]
+    pub fn page() -> String {
+        let mut page = String::from(
+            "# Result codes\n\n\
+             Every refusal is a problem document (RFC 9457) with the members `code`, `executed` and\n\
+             `request_id`. `executed` is `never` only when no byte of the request left for an endpoint.\n\
+             This page is rendered from `crates/codes/src/code.rs`.\n\n\
+             | code | name | HTTP | executed | retry after | meaning |\n|---|---|---|---|---|---|\n",
+        );
+        for code in Self::ALL {
+            let retry = match code.retry_after_s() {
+                0 => "-".to_owned(),
+                s => format!("{s} s"),
+            };
+            page += &format!(
+                "| {} | {:?} | {} | {} | {} |{} |\n",
+                code.number(),
+                code,
+                code.status(),
+                code.executed(),
+                retry,
+                code.meaning()
+            );
+        }
+        page
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.title())
+    }
+}
--- /dev/null
+++ b/crates/fake-engine/src/endpoint.rs
@@ -0,0 +1,321 @@
+//! Threads, ports and HTTP calls of the endpoints.
+
+use crate::{
+    batch::{Answer, Batch, Piece, is_crash},
+    fleet::{Fleet, Spec},
+    plain,
+};
+use anyhow::Result;
+use engine::{chat, client::Load};
+use futures_util::stream;
+use ntex::{
+    util::Bytes,
+    web::{self, App, HttpRequest, HttpResponse, HttpServer},
+};
+use parking_lot::Mutex;
+use std::{
+    collections::VecDeque,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::sync::{Notify, mpsc};
+
+/// Default length of an answer without `max_tokens`.
+const DEFAULT_OUTPUT: u64 = 64;
+/// Interval at which an idle engine looks for abandoned requests.
+const IDLE_STEP: Duration = Duration::from_millis(50);
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Its specification.
+    pub spec: Spec,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its engine.
+    pub batch: Mutex<Batch>,
+    /// Wakes the engine.
+    pub work: Notify,
+    /// Asks for a crash.
+    pub crash: Notify,
+    loads: Mutex<VecDeque<(Instant, Load)>>,
+    /// Time of the newest request.
+    pub newest: Mutex<Instant>,
+}
+
+/// Shared handle of an endpoint in HTTP handlers.
+pub type Shared = web::types::State<Arc<Endpoint>>;
+
+/// Starts every endpoint of a fleet.
+pub fn start_all(fleet: &Fleet) -> Result<Vec<Arc<Endpoint>>> {
+    fleet.endpoints.iter().map(start).collect()
+}
+
+fn start(spec: &Spec) -> Result<Arc<Endpoint>> {
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let endpoint = Arc::new(Endpoint {
+        spec: spec.clone(),
+        address: listener.local_addr()?,
+        batch: Mutex::default(),
+        work: Notify::new(),
+        crash: Notify::new(),
+        loads: Mutex::default(),
+        newest: Mutex::new(Instant::now()),
+    });
+    let shared = Arc::clone(&endpoint);
+    std::thread::spawn(move || {
+        let name = shared.spec.id.to_string();
+        let system = ntex::rt::System::new(&name, ntex::rt::DefaultRuntime);
+        system.block_on(run(shared, listener));
+    });
+    Ok(endpoint)
+}
+
+/// Serves until the process ends; a crash closes port and connections for a while.
+async fn run(endpoint: Arc<Endpoint>, first: TcpListener) {
+    ntex::rt::spawn(step_loop(Arc::clone(&endpoint)));
+    let mut listener = Some(first);
+    loop {
+        let bound = match listener.take() {
+            Some(bound) => bound,
+            None => match TcpListener::bind(endpoint.address) {
+                Ok(bound) => bound,
+                Err(_) => {
+                    tokio::time::sleep(IDLE_STEP).await;
+                    continue;
+                }
+            },
+        };
+        let Ok(server) = serve(&endpoint, bound) else {
+            return;
+        };
+        endpoint.crash.notified().await;
+        endpoint.batch.lock().crash();
+        server.stop(false).await;
+        tokio::time::sleep(Duration::from_millis(endpoint.spec.restart_ms)).await;
+    }
+}
+
+fn serve(endpoint: &Arc<Endpoint>, listener: TcpListener) -> Result<ntex::server::Server> {
+    let endpoint = Arc::clone(endpoint);
+    let factory = async move || {
+        App::new()
+            .state(Arc::clone(&endpoint))
+            .state(web::types::PayloadConfig::new(16 * 1024 * 1024))
+            .service((
+                web::resource("/v1/chat/completions").route(web::post().to(complete)),
+                web::resource("/v1/requests/{id}/events").route(web::get().to(resume)),
+                web::resource("/v1/requests/{id}/cancel").route(web::post().to(cancel)),
+                web::resource("/load").route(web::get().to(load)),
+            ))
+            .default_service(web::route().to(plain::call))
+    };
+    Ok(HttpServer::new(factory)
+        .listen(listener)?
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(ntex::time::Seconds::ZERO)
+        .run())
+}
+
+async fn step_loop(endpoint: Arc<Endpoint>) {
+    let mut due = Instant::now();
+    loop {
+        let frozen = endpoint
+            .batch
+            .lock()
+            .frozen_until
+            .filter(|until| *until > Instant::now());
+        if let Some(until) = frozen {
+            tokio::time::sleep_until(until.into()).await;
+            due = Instant::now();
+        }
+        let step = endpoint.batch.lock().step(&endpoint.spec);
+        note_load(&endpoint);
+        match step {
+            Some(length) => {
+                due = (due + length).max(Instant::now() - length);
+                tokio::time::sleep_until(due.into()).await;
+                endpoint.batch.lock().emit(true);
+            }
+            None => {
+                let _ = tokio::time::timeout(IDLE_STEP, endpoint.work.notified()).await;
+                due = Instant::now();
+            }
+        }
+    }
+}
+
+/// Keeps loads until they are old enough to be reported.
+fn note_load(endpoint: &Endpoint) {
+    let load = {
+        let batch = endpoint.batch.lock();
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        Load {
+            running: count(batch.running.len()),
+            waiting: count(batch.waiting.len()),
+            leaving: false,
+        }
+    };
+    let now = Instant::now();
+    let lag = Duration::from_millis(endpoint.spec.report_lag_ms);
+    let mut loads = endpoint.loads.lock();
+    loads.push_back((now, load));
+    while loads.len() > 1 && now.duration_since(loads[1].0) >= lag {
+        loads.pop_front();
+    }
+}
+
+async fn load(endpoint: Shared) -> HttpResponse {
+    let oldest = endpoint.loads.lock().front().map(|(_, load)| *load);
+    let load = oldest.unwrap_or(Load {
+        running: 0,
+        waiting: 0,
+        leaving: false,
+    });
+    HttpResponse::Ok().json(&load)
+}
+
+async fn complete(endpoint: Shared, http: HttpRequest, body: Bytes) -> HttpResponse {
+    let Ok(request) = chat::parse(&body) else {
+        return HttpResponse::BadRequest().body("malformed");
+    };
+    let text = String::from_utf8_lossy(&body).into_owned();
+    if is_crash(&text) {
+        note_run(&endpoint, "crash-engine");
+        endpoint.crash.notify_one();
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        return HttpResponse::InternalServerError().finish();
+    }
+    if endpoint.batch.lock().leaving {
+        return HttpResponse::ServiceUnavailable()
+            .header("x-endpoint-leaving", "1")
+            .finish();
+    }
+    *endpoint.newest.lock() = Instant::now();
+    let id: Box<str> = header(&http, "x-request-id").into();
+    note_run(&endpoint, &id);
+    let output = request.max_output.map_or(DEFAULT_OUTPUT, |t| t.0).max(1);
+    let prefixes: Vec<_> = request.prefixes.iter().map(|(h, t)| (*h, t.0)).collect();
+    let (listener, pieces) = mpsc::unbounded_channel();
+    let prompt = request.prompt.0;
+    let answer = Arc::new(Answer {
+        id,
+        mark: mark(&text),
+        prompt,
+        model: request.model,
+    });
+    endpoint.batch.lock().admit(
+        Arc::clone(&answer),
+        output,
+        &prefixes,
+        &endpoint.spec,
+        listener,
+    );
+    endpoint.work.notify_one();
+    event_stream(answer, pieces, 0)
+}
+
+fn note_run(endpoint: &Endpoint, id: &str) {
+    *endpoint
+        .batch
+        .lock()
+        .stats
+        .runs
+        .entry(id.into())
+        .or_default() += 1;
+}
+
+/// Value of a header, empty when absent.
+pub fn header(http: &HttpRequest, name: &str) -> String {
+    let value = http
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// Text between `<<` and `>>` of the prompt, which every token repeats.
+fn mark(text: &str) -> Box<str> {
+    let inner = text
+        .split_once("<<")
+        .and_then(|(_, rest)| rest.split_once(">>"));
+    inner.map_or("none", |(mark, _)| mark).into()
+}
+
+fn event(answer: &Answer, piece: Piece, number: u64) -> String {
+    match piece {
+        Piece::Token(index) => format!(
+            "id: {index}\ndata: {{\"id\":\"{}\",\"object\":\"chat.completion.chunk\",\
+                 \"model\":\"{}\",\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{}:{index} \"}},\
+                 \"finish_reason\":null}}]}}\n\n",
+            answer.id, answer.model, answer.mark
+        ),
+        Piece::End => format!(
+            "id: {}\ndata: {{\"id\":\"{}\",\"object\":\"chat.completion.chunk\",\"model\":\"{}\",\
+                 \"choices\":[{{\"index\":0,\"delta\":{{}},\"finish_reason\":\"stop\"}}],\
+                 \"usage\":{{\"prompt_tokens\":{},\"completion_tokens\":{number}}}}}\n\n\
+                 data: [DONE]\n\n",
+            number + 1,
+            answer.id,
+            answer.model,
+            answer.prompt
+        ),
+    }
+}
+
+/// Streams tokens after number `after`; a channel that closes early cuts the answer.
+fn event_stream(
+    answer: Arc<Answer>,
+    pieces: mpsc::UnboundedReceiver<Piece>,
+    after: u64,
+) -> HttpResponse {
+    let state = (answer, pieces, after, false);
+    let events = stream::unfold(state, |(answer, mut pieces, last, ended)| async move {
+        if ended {
+            return None;
+        }
+        match pieces.recv().await {
+            Some(piece) => {
+                let last = if let Piece::Token(index) = piece {
+                    index
+                } else {
+                    last
+                };
+                let text = event(&answer, piece, last);
+                let state = (answer, pieces, last, piece == Piece::End);
+                Some((Ok(Bytes::from(text)), state))
+            }
+            None => {
+                let cut = std::io::Error::other("engine stopped");
+                Some((Err(cut), (answer, pieces, last, true)))
+            }
+        }
+    });
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .streaming(Box::pin(events))
+}
+
+async fn resume(endpoint: Shared, http: HttpRequest) -> HttpResponse {
+    let id: Box<str> = http.match_info().get("id").unwrap_or_default().into();
+    let after: u64 = header(&http, "last-event-id").parse().unwrap_or(0);
+    let (listener, pieces) = mpsc::unbounded_channel();
+    let missed = listener.clone();
+    let Some((generated, answer)) = endpoint.batch.lock().resume(&id, listener) else {
+        return HttpResponse::NotFound().finish();
+    };
+    for index in after + 1..=generated {
+        let _ = missed.send(Piece::Token(index));
+    }
+    event_stream(answer, pieces, after)
+}
+
+async fn cancel(endpoint: Shared, http: HttpRequest) -> HttpResponse {
+    endpoint
+        .batch
+        .lock()
+        .cancel(http.match_info().get("id").unwrap_or_default());
+    HttpResponse::Ok().finish()
+}
--- /dev/null
+++ b/crates/fake-engine/src/fleet.rs
@@ -0,0 +1,62 @@
+//! Fleet files.
+
+use serde::Deserialize;
+use units::{EndpointId, RegionId, ServiceId, ZoneId};
+
+/// Endpoints that one process hosts.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Endpoints.
+    #[serde(rename = "endpoint")]
+    pub endpoints: Vec<Spec>,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spec {
+    /// Name.
+    pub id: EndpointId,
+    /// Service.
+    pub service: ServiceId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Region.
+    pub region: RegionId,
+    /// Base time of a step, in microseconds; the service time of a plain service.
+    pub step_us: u64,
+    /// Time that each running request adds to a step, in microseconds.
+    #[serde(default)]
+    pub per_request_us: u64,
+    /// Prompt tokens read a second.
+    #[serde(default = "default_prefill")]
+    pub prefill_per_s: u64,
+    /// Requests that run at once.
+    pub batch: usize,
+    /// Tokens that the prefix cache holds.
+    #[serde(default = "default_cache")]
+    pub cache_tokens: u64,
+    /// Age of the load that is reported, in milliseconds.
+    #[serde(default = "default_lag")]
+    pub report_lag_ms: u64,
+    /// Time that the endpoint stays down after a crash, in milliseconds.
+    #[serde(default = "default_restart")]
+    pub restart_ms: u64,
+}
+
+const fn default_prefill() -> u64 {
+    8_000
+}
+
+const fn default_cache() -> u64 {
+    100_000
+}
+
+const fn default_lag() -> u64 {
+    1_000
+}
+
+const fn default_restart() -> u64 {
+    1_500
+}
--- /dev/null
+++ b/crates/fake-engine/src/main.rs
@@ -0,0 +1,44 @@
+//! Stand-ins for model engines and plain services.
+//!
+//! One process hosts the endpoints of a fleet file, each on a port and a thread
+//! of its own. Engines batch continuously: a step reads a chunk of prompts and
+//! generates one token for each running request; what exceeds the largest
+//! batch waits in a queue that callers do not see. Control calls crash, slow
+//! down or freeze one endpoint, or let it leave.
+
+mod admin;
+mod batch;
+mod endpoint;
+mod fleet;
+mod plain;
+mod stats;
+
+use anyhow::{Context, Result};
+use fleet::Fleet;
+use std::{net::SocketAddr, path::PathBuf};
+
+/// Stand-in for engines and plain services.
+#[derive(argh::FromArgs)]
+struct Options {
+    /// fleet file
+    #[argh(option)]
+    fleet: PathBuf,
+    /// platform to register with
+    #[argh(option)]
+    platform: Option<SocketAddr>,
+    /// address of the control calls
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
+    listen: SocketAddr,
+}
+
+#[ntex::main]
+async fn main() -> Result<()> {
+    let options: Options = argh::from_env();
+    let text = std::fs::read_to_string(&options.fleet).context("reading the fleet file")?;
+    let fleet: Fleet = serde_json::from_value(toml::from_str(&text)?)?;
+    let endpoints = endpoint::start_all(&fleet)?;
+    if let Some(platform) = options.platform {
+        admin::register(platform, &endpoints).await?;
+    }
+    admin::serve(options.listen, endpoints, options.platform).await
+}
--- /dev/null
+++ b/crates/fake-platform/src/state.rs
@@ -0,0 +1,164 @@
+//! Rows, objects and listings in memory.
+
+use crate::control::Switches;
+use parking_lot::Mutex;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+use store::{
+    directory::{List, Listing},
+    table::{Condition, Keys, Row, Rows, Transaction},
+};
+
+#[derive(Debug, Default)]
+struct Data {
+    rows: BTreeMap<Box<str>, Row>,
+    objects: HashMap<Box<str>, Vec<u8>>,
+    listings: BTreeMap<Box<str>, Listing>,
+    visible: BTreeMap<Box<str>, Listing>,
+    pending: Vec<(Instant, Box<str>)>,
+    switches: Switches,
+    counters: Counters,
+}
+
+/// Calls since the start.
+#[derive(Debug, Clone, Copy, Default, serde::Serialize)]
+pub struct Counters {
+    /// Transactions.
+    pub writes: u64,
+    /// Reads of the table.
+    pub reads: u64,
+    /// Reads of the directory.
+    pub lists: u64,
+}
+
+/// State of the stand-in.
+#[derive(Debug)]
+pub struct State {
+    data: Mutex<Data>,
+    lag: Duration,
+}
+
+impl State {
+    /// Empty state with a directory that lags.
+    pub fn new(lag: Duration) -> Self {
+        Self {
+            data: Mutex::default(),
+            lag,
+        }
+    }
+
+    /// Current switches.
+    pub fn switches(&self) -> Switches {
+        self.data.lock().switches
+    }
+
+    /// Replaces the switches.
+    pub fn set_switches(&self, switches: Switches) {
+        self.data.lock().switches = switches;
+    }
+
+    /// Calls since the start.
+    pub fn counters(&self) -> Counters {
+        self.data.lock().counters
+    }
+
+    /// Whether the answer of a write that took effect is lost; uses up one loss.
+    pub fn lose_answer(&self) -> bool {
+        let mut data = self.data.lock();
+        let lose = data.switches.lose_answers > 0;
+        data.switches.lose_answers = data.switches.lose_answers.saturating_sub(1);
+        lose
+    }
+
+    /// Runs a transaction, or gives the rows of its conditions.
+    pub fn transact(&self, transaction: &Transaction) -> Result<(), Rows> {
+        let mut data = self.data.lock();
+        data.counters.writes += 1;
+        let holds = |condition: &Condition| {
+            data.rows.get(&condition.key).map(|row| row.version) == condition.version
+        };
+        if !transaction.conditions.iter().all(holds) {
+            let keys = transaction.conditions.iter();
+            let rows = keys
+                .filter_map(|c| data.rows.get(&c.key).cloned())
+                .collect();
+            return Err(Rows { rows });
+        }
+        for write in &transaction.writes {
+            let version = data.rows.get(&write.key).map_or(1, |row| row.version + 1);
+            match &write.value {
+                Some(value) => {
+                    let row = Row {
+                        key: write.key.clone(),
+                        version,
+                        value: value.clone(),
+                    };
+                    data.rows.insert(write.key.clone(), row);
+                }
+                None => {
+                    data.rows.remove(&write.key);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads rows.
+    pub fn read(&self, keys: &Keys) -> Rows {
+        let mut data = self.data.lock();
+        data.counters.reads += 1;
+        Rows {
+            rows: keys
+                .keys
+                .iter()
+                .filter_map(|key| data.rows.get(key).cloned())
+                .collect(),
+        }
+    }
+
+    /// Stores an object.
+    pub fn put_object(&self, name: &str, bytes: Vec<u8>) {
+        self.data.lock().objects.insert(name.into(), bytes);
+    }
+
+    /// Reads an object.
+    pub fn object(&self, name: &str) -> Option<Vec<u8>> {
+        self.data.lock().objects.get(name).cloned()
+    }
+
+    /// Registers or changes a listing; it shows after the lag.
+    pub fn register(&self, listing: Listing) {
+        let mut data = self.data.lock();
+        let id = listing.id.clone();
+        data.listings.insert(id.clone(), listing);
+        data.pending.push((Instant::now() + self.lag, id));
+    }
+
+    /// Removes a listing; that shows after the lag.
+    pub fn unregister(&self, id: &str) {
+        let mut data = self.data.lock();
+        data.listings.remove(id);
+        data.pending.push((Instant::now() + self.lag, id.into()));
+    }
+
+    /// List as it shows now.
+    pub fn list(&self) -> List {
+        let mut data = self.data.lock();
+        data.counters.lists += 1;
+        let now = Instant::now();
+        let pending = std::mem::take(&mut data.pending);
+        let (due, waiting): (Vec<_>, Vec<_>) = pending.into_iter().partition(|(at, _)| *at <= now);
+        data.pending = waiting;
+        for (_, id) in due {
+            match data.listings.get(&id).cloned() {
+                Some(listing) => data.visible.insert(id, listing),
+                None => data.visible.remove(&id),
+            };
+        }
+        List {
+            listings: data.visible.values().cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/controller/facts.rs
@@ -0,0 +1,149 @@
+//! Facts: merged, forwarded once, and given whole to whoever asks.
+
+use super::membership;
+use crate::blackboard::{Blackboard, wall_ms};
+use codes::Event;
+use member::Fact;
+use sched::strike::Verdict;
+use slog::{info, warn};
+use std::time::Duration;
+use units::{EndpointId, Fingerprint, InstanceId};
+use wire::Frame;
+
+/// Takes in facts of a peer and forwards those that are news.
+pub fn receive(board: &Blackboard, from: &InstanceId, facts: &[Fact]) {
+    let news: Vec<Fact> = facts
+        .iter()
+        .filter(|fact| merge(board, fact))
+        .cloned()
+        .collect();
+    forward(board, Some(from), news);
+}
+
+/// Makes a fact known that was found here.
+pub fn announce(board: &Blackboard, fact: Fact) {
+    if merge(board, &fact) {
+        forward(board, None, vec![fact]);
+    }
+}
+
+fn forward(board: &Blackboard, except: Option<&InstanceId>, facts: Vec<Fact>) {
+    if facts.is_empty() {
+        return;
+    }
+    let facts: Box<[Fact]> = facts.into();
+    for finger in membership::fingers(board) {
+        if Some(&finger.instance) != except {
+            board.link.send(finger.address, Frame::Facts(facts.clone()));
+        }
+    }
+}
+
+/// Merges a fact; true when it was news.
+fn merge(board: &Blackboard, fact: &Fact) -> bool {
+    match fact {
+        Fact::Leaving {
+            endpoint,
+            leaving,
+            stamp_ms,
+        } => merge_leaving(board, endpoint, *leaving, *stamp_ms),
+        Fact::Strike {
+            fingerprint,
+            strikes,
+            age_ms,
+        } => {
+            let age = Duration::from_millis(*age_ms);
+            let news = board
+                .ledger
+                .lock()
+                .merge(*fingerprint, *strikes, age, board.now());
+            if news {
+                log_strike(board, *fingerprint, *strikes);
+            }
+            news
+        }
+        Fact::Cleared { fingerprint } => board.ledger.lock().clear(*fingerprint),
+    }
+}
+
+fn merge_leaving(board: &Blackboard, endpoint: &EndpointId, leaving: bool, stamp_ms: u64) -> bool {
+    let mut known = board.leaving.lock();
+    let news = match known.get(endpoint) {
+        Some(stamp) => stamp_ms > *stamp && !leaving,
+        None => leaving,
+    };
+    if !news {
+        return false;
+    }
+    let event = if leaving {
+        known.insert(endpoint.clone(), stamp_ms);
+        Event::EndpointLeaving
+    } else {
+        known.remove(endpoint);
+        Event::EndpointJoined
+    };
+    drop(known);
+    info!(board.log, "endpoint changed"; event, "endpoint" => %endpoint);
+    board.remap.notify_one();
+    true
+}
+
+fn log_strike(board: &Blackboard, fingerprint: Fingerprint, strikes: u8) {
+    let verdict = board.ledger.lock().verdict(fingerprint, board.now());
+    let event = match verdict {
+        Verdict::Quarantined { .. } => Event::Quarantine,
+        Verdict::Clear | Verdict::Suspect => Event::Strike,
+    };
+    warn!(board.log, "strike"; event, "fingerprint" => %fingerprint, "strikes" => strikes);
+    board.metrics.count("strikes", &strikes.to_string());
+}
+
+/// Adds a strike against a request and makes it known.
+pub fn strike(board: &Blackboard, fingerprint: Fingerprint) {
+    let strikes = board.ledger.lock().strike(fingerprint, board.now());
+    log_strike(board, fingerprint, strikes);
+    forward(
+        board,
+        None,
+        vec![Fact::Strike {
+            fingerprint,
+            strikes,
+            age_ms: 0,
+        }],
+    );
+}
+
+/// Clears a suspect that was answered whole.
+pub fn clear(board: &Blackboard, fingerprint: Fingerprint) {
+    announce(board, Fact::Cleared { fingerprint });
+}
+
+/// Every fact that is known, for a peer that joins or was paused.
+pub fn all(board: &Blackboard) -> Vec<Fact> {
+    let strikes = board.ledger.lock().records(board.now());
+    let leaving = board.leaving.lock();
+    let strikes = strikes.into_iter().map(|(fingerprint, strikes, age)| {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        Fact::Strike {
+            fingerprint,
+            strikes,
+            age_ms,
+        }
+    });
+    let leaving = leaving.iter().map(|(endpoint, stamp_ms)| Fact::Leaving {
+        endpoint: endpoint.clone(),
+        leaving: true,
+        stamp_ms: *stamp_ms,
+    });
+    strikes.chain(leaving).collect()
+}
+
+/// Fact that an endpoint is leaving or back, as seen now.
+#[must_use]
+pub fn leaving(endpoint: &EndpointId, leaving: bool) -> Fact {
+    Fact::Leaving {
+        endpoint: endpoint.clone(),
+        leaving,
+        stamp_ms: wall_ms(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk.rs
@@ -0,0 +1,560 @@
+//! Waiting requests, owned cells and permits in use, behind one lock.
+//!
+//! The desk joins the pure parts: the [`Holder`] of this gateway's requests
+//! and the [`sched::Cell`]s that it owns. A request whose cell is owned here is
+//! granted by a call; any other by frames. Every decision is logged here.
+
+mod baseline;
+mod owned;
+
+use crate::{blackboard::Blackboard, map::Map};
+use codes::{Code, Event};
+use owned::Owned;
+use parking_lot::Mutex;
+use sched::{
+    Bid, CellId, Grant, Holder, Outcome,
+    holder::{Action, Route},
+};
+use slog::info;
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+use tokio::sync::oneshot;
+use units::{EndpointId, InstanceId, Permit, RequestId, ServiceId, Time, score};
+use wire::{Frame, Held, TimedBid};
+
+/// Cells of the home region that a request is registered with at first.
+const HOME_CELLS: usize = 2;
+
+/// Right to send, with what is needed to use it.
+#[derive(Debug, Clone)]
+pub struct Assignment {
+    /// Owner that granted.
+    pub owner: InstanceId,
+    /// Cell of the endpoint.
+    pub cell: CellId,
+    /// Grant.
+    pub grant: Grant,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// Whether the endpoint stands in another region.
+    pub far: bool,
+}
+
+/// What a waiting request is told.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Send it.
+    Run(Box<Assignment>),
+    /// Refuse it.
+    Refuse(Code),
+}
+
+#[derive(Debug)]
+struct InUse {
+    owner: InstanceId,
+    endpoint: EndpointId,
+    bid: Bid,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    holder: Holder,
+    owned: Owned,
+    waiters: HashMap<RequestId, oneshot::Sender<Verdict>>,
+    in_use: HashMap<(CellId, Permit), InUse>,
+    baseline: baseline::State,
+    spilled_bytes: f64,
+    spilled_at: Time,
+}
+
+/// Waiting requests, cells and permits.
+#[derive(Debug, Default)]
+pub struct Desk {
+    inner: Mutex<Inner>,
+}
+
+/// Sizes for status and metrics.
+#[derive(Debug, Clone, Copy, Default, serde::Serialize)]
+pub struct Sizes {
+    /// Requests of this gateway that wait.
+    pub waiting: usize,
+    /// Permits that this gateway uses.
+    pub in_use: usize,
+    /// Cells that this gateway owns.
+    pub cells: usize,
+    /// Bids that wait in those cells.
+    pub bids: usize,
+}
+
+impl Desk {
+    /// Takes a request in; the verdict comes later.
+    pub fn submit(
+        &self,
+        board: &Blackboard,
+        service: &ServiceId,
+        bid: Bid,
+    ) -> oneshot::Receiver<Verdict> {
+        let (sender, receiver) = oneshot::channel();
+        let now = board.now();
+        let mut inner = self.inner.lock();
+        if inner.evict_for(board, &bid) {
+            let _ = sender.send(Verdict::Refuse(Code::TooManyRequests));
+            return receiver;
+        }
+        if board.settings.policy != sched::policy::Policy::Permits {
+            inner.submit_baseline(board, service, bid, sender);
+            return receiver;
+        }
+        let map = board.map();
+        let routes = home_routes(&map, service, &board.settings.region, bid.request);
+        inner.waiters.insert(bid.request, sender);
+        let actions = inner.holder.submit(bid, &routes, now);
+        inner.perform(board, actions, now);
+        receiver
+    }
+
+    /// Withdraws a request that waits no more.
+    pub fn withdraw(&self, board: &Blackboard, request: RequestId) {
+        let now = board.now();
+        let mut inner = self.inner.lock();
+        inner.waiters.remove(&request);
+        let actions = inner.holder.withdraw(request);
+        inner.perform(board, actions, now);
+    }
+
+    /// Tells the owner of the first token.
+    pub fn first_token(&self, board: &Blackboard, assignment: &Assignment, took: Duration) {
+        let now = board.now();
+        let (cell, permit) = (&assignment.cell, assignment.grant.permit);
+        let mut inner = self.inner.lock();
+        if assignment.owner == board.settings.instance {
+            inner.owned.first_token(board, cell, permit, took, now);
+            inner.decide(board, cell, now);
+        } else {
+            inner.send(
+                board,
+                &assignment.owner,
+                Frame::FirstToken(cell.clone(), permit, took),
+            );
+        }
+    }
+
+    /// Tells the owner that a permit is not in use any more.
+    pub fn ended(&self, board: &Blackboard, assignment: &Assignment, outcome: Outcome) {
+        let now = board.now();
+        let mut inner = self.inner.lock();
+        inner
+            .in_use
+            .remove(&(assignment.cell.clone(), assignment.grant.permit));
+        inner.baseline.ended(&assignment.grant.endpoint);
+        let (owner, cell) = (assignment.owner.clone(), assignment.cell.clone());
+        let permit = assignment.grant.permit;
+        let action = Action::Return {
+            owner,
+            cell,
+            permit,
+            outcome,
+        };
+        inner.perform(board, vec![action], now);
+    }
+
+    /// Handles a frame about requests.
+    pub fn receive(&self, board: &Blackboard, from: &InstanceId, frame: Frame) {
+        let now = board.now();
+        let mut inner = self.inner.lock();
+        match frame {
+            Frame::Register(cell, bid) => inner.register_remote(board, from, cell, bid, now),
+            Frame::Cancel(cell, request) => inner.owned.cancel(&cell, request),
+            Frame::FirstToken(cell, permit, took) => {
+                inner.owned.first_token(board, &cell, permit, took, now);
+                inner.decide(board, &cell, now);
+            }
+            Frame::Ended(cell, permit, outcome) => {
+                inner.owned.ended(board, &cell, permit, outcome, now);
+                inner.decide(board, &cell, now);
+            }
+            Frame::Holding(cell, held) => inner.owned.holding(from, &cell, &held, now),
+            Frame::Grant(cell, grant) => {
+                let actions = inner.holder.grant(from, &cell, grant, now);
+                inner.perform(board, actions, now);
+            }
+            Frame::Shed(cell, shed) => {
+                let actions = inner.holder.shed(from, &cell, shed.request, shed.code, now);
+                inner.perform(board, actions, now);
+            }
+            Frame::Queued(_) => inner.holder.hear(from, now),
+            _ => {}
+        }
+    }
+
+    /// Advances time.
+    pub fn tick(&self, board: &Blackboard) {
+        let now = board.now();
+        let map = board.map();
+        let mut inner = self.inner.lock();
+        let actions = inner.holder.tick(now, |cell| map.route(cell));
+        inner.perform(board, actions, now);
+        inner.spill(board, &map, now);
+        for cell in inner.owned.ids() {
+            inner.decide(board, &cell, now);
+        }
+    }
+
+    /// Repeats to owners which permits are in use, and takes back permits without news.
+    pub fn report_held(&self, board: &Blackboard) {
+        let now = board.now();
+        let map = board.map();
+        let mut inner = self.inner.lock();
+        let mut reports: HashMap<(InstanceId, CellId), Vec<Held>> = HashMap::new();
+        for ((cell, permit), used) in &inner.in_use {
+            let Some(owner) = map.cells.get(cell).and_then(|c| c.owners.first()) else {
+                continue;
+            };
+            let known = *owner == used.owner;
+            let bid = (!known).then(|| TimedBid::new(used.bid.clone(), now));
+            let held = Held {
+                permit: *permit,
+                endpoint: used.endpoint.clone(),
+                bid,
+            };
+            reports
+                .entry((owner.clone(), cell.clone()))
+                .or_default()
+                .push(held);
+        }
+        for ((owner, cell), held) in reports {
+            if owner == board.settings.instance {
+                inner.owned.holding(&owner, &cell, &held, now);
+            } else {
+                inner.send(board, &owner, Frame::Holding(cell, held.into()));
+            }
+        }
+        inner.owned.reclaim(now);
+    }
+
+    /// Adapts the owned cells to a new map.
+    pub fn remap(&self, board: &Blackboard, map: &Map) {
+        let now = board.now();
+        self.inner.lock().owned.remap(board, map, now);
+    }
+
+    /// Corrects the windows of an endpoint by its load report.
+    pub fn report(&self, endpoint: &EndpointId, load: engine::client::Load, now: Time) {
+        self.inner.lock().owned.report(endpoint, load, now);
+    }
+
+    /// Drops what a dead gateway had registered.
+    pub fn drop_holder(&self, holder: &InstanceId, now: Time) {
+        self.inner.lock().owned.drop_holder(holder, now);
+    }
+
+    /// Refuses everything that waits.
+    pub fn refuse_all(&self, board: &Blackboard, code: Code) {
+        let now = board.now();
+        let mut inner = self.inner.lock();
+        let waiting: Vec<RequestId> = inner.waiters.keys().copied().collect();
+        for request in waiting {
+            let mut actions = inner.holder.withdraw(request);
+            actions.push(Action::Refuse { request, code });
+            inner.perform(board, actions, now);
+        }
+    }
+
+    /// Endpoints of cells owned here.
+    #[must_use]
+    pub fn owned_endpoints(&self) -> HashSet<EndpointId> {
+        self.inner.lock().owned.endpoints()
+    }
+
+    /// Sizes for status and metrics.
+    #[must_use]
+    pub fn sizes(&self) -> Sizes {
+        let inner = self.inner.lock();
+        Sizes {
+            waiting: inner.waiters.len(),
+            in_use: inner.in_use.len(),
+            cells: inner.owned.ids().len(),
+            bids: inner.owned.waiting(),
+        }
+    }
+
+    /// Windows of the endpoints owned here, for status.
+    #[must_use]
+    pub fn windows(&self) -> Vec<owned::Gauge> {
+        self.inner.lock().owned.windows()
+    }
+}
+
+/// Routes that a request is registered with at first: at home, else wherever the service runs.
+fn home_routes(
+    map: &Map,
+    service: &ServiceId,
+    region: &units::RegionId,
+    request: RequestId,
+) -> Vec<Route> {
+    let mut cells = map.cells_in(service, region, true);
+    if cells.is_empty() {
+        cells = map.cells_in(service, region, false);
+    }
+    let key = request.to_string();
+    cells.sort_by_cached_key(|cell| std::cmp::Reverse(score(&cell.to_string(), &key)));
+    cells
+        .iter()
+        .take(HOME_CELLS)
+        .filter_map(|cell| map.route(cell))
+        .collect()
+}
+
+impl Inner {
+    /// Makes room by refusing a waiting request of a lower tier; true when there is no room.
+    fn evict_for(&mut self, board: &Blackboard, bid: &Bid) -> bool {
+        let held = self.waiters.len() + self.in_use.len();
+        if held < board.settings.limits.requests {
+            return false;
+        }
+        let lowest = self.holder.bids().max_by_key(|b| (b.rank, b.deadline));
+        let Some(victim) = lowest.filter(|b| b.rank > bid.rank).map(|b| b.request) else {
+            return true;
+        };
+        let mut actions = self.holder.withdraw(victim);
+        actions.push(Action::Refuse {
+            request: victim,
+            code: Code::QueueFull,
+        });
+        self.perform(board, actions, board.now());
+        false
+    }
+
+    fn perform(&mut self, board: &Blackboard, actions: Vec<Action>, now: Time) {
+        let mut queue: VecDeque<Action> = actions.into();
+        while let Some(action) = queue.pop_front() {
+            queue.extend(self.perform_one(board, action, now));
+        }
+    }
+
+    fn perform_one(&mut self, board: &Blackboard, action: Action, now: Time) -> Vec<Action> {
+        let me = &board.settings.instance;
+        match action {
+            Action::Register { owner, cell, bid } if owner == *me => {
+                self.owned.register(board, &cell, bid, now);
+                self.settle(board, &cell, now)
+            }
+            Action::Register { owner, cell, bid } => {
+                let frame = Frame::Register(cell, TimedBid::new(bid, now));
+                self.send(board, &owner, frame);
+                Vec::new()
+            }
+            Action::Cancel {
+                owner,
+                cell,
+                request,
+            } => {
+                if owner == *me {
+                    self.owned.cancel(&cell, request);
+                } else {
+                    self.send(board, &owner, Frame::Cancel(cell, request));
+                }
+                Vec::new()
+            }
+            Action::Return {
+                owner,
+                cell,
+                permit,
+                outcome,
+            } => {
+                if owner == *me {
+                    self.owned.ended(board, &cell, permit, outcome, now);
+                    return self.settle(board, &cell, now);
+                }
+                self.send(board, &owner, Frame::Ended(cell, permit, outcome));
+                Vec::new()
+            }
+            Action::Run {
+                owner,
+                cell,
+                bid,
+                grant,
+            } => self.run(board, owner, cell, bid, grant, now),
+            Action::Refuse { request, code } => {
+                self.refuse(request, code);
+                Vec::new()
+            }
+            Action::Silent { owner, cell } => {
+                info!(board.log, "owner silent"; Event::OwnerSilent,
+                    "owner" => %owner, "cell" => %cell);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Decisions of an owned cell, as steps for this gateway or frames for others.
+    fn settle(&mut self, board: &Blackboard, cell: &CellId, now: Time) -> Vec<Action> {
+        let me = board.settings.instance.clone();
+        let decisions = self.owned.decide(cell, now);
+        let mut actions = Vec::new();
+        for grant in decisions.grants {
+            if grant.holder == me {
+                actions.extend(self.holder.grant(&me, cell, grant, now));
+            } else {
+                let holder = grant.holder.clone();
+                self.send(board, &holder, Frame::Grant(cell.clone(), grant));
+            }
+        }
+        for shed in decisions.sheds {
+            if shed.holder == me {
+                actions.extend(self.holder.shed(&me, cell, shed.request, shed.code, now));
+            } else {
+                let holder = shed.holder.clone();
+                self.send(board, &holder, Frame::Shed(cell.clone(), shed));
+            }
+        }
+        actions
+    }
+
+    fn decide(&mut self, board: &Blackboard, cell: &CellId, now: Time) {
+        let actions = self.settle(board, cell, now);
+        self.perform(board, actions, now);
+    }
+
+    fn register_remote(
+        &mut self,
+        board: &Blackboard,
+        from: &InstanceId,
+        cell: CellId,
+        bid: TimedBid,
+        now: Time,
+    ) {
+        let known = self.owned.register(board, &cell, bid.into_bid(now), now);
+        if known {
+            self.send(board, from, Frame::Queued(cell.clone()));
+        }
+        self.decide(board, &cell, now);
+    }
+
+    /// Hands a grant to the request that waits for it, unless its endpoint may not be used.
+    fn run(
+        &mut self,
+        board: &Blackboard,
+        owner: InstanceId,
+        cell: CellId,
+        bid: Bid,
+        grant: Grant,
+        now: Time,
+    ) -> Vec<Action> {
+        let map = board.map();
+        let target = map
+            .targets
+            .get(&grant.endpoint)
+            .filter(|target| !target.leaving);
+        let usable = target.filter(|_| board.is_fresh());
+        let Some(target) = usable else {
+            let leaving = map.targets.get(&grant.endpoint).is_some_and(|t| t.leaving);
+            let outcome = if leaving {
+                Outcome::Declined
+            } else {
+                Outcome::Returned
+            };
+            let mut actions = vec![Action::Return {
+                owner,
+                cell: cell.clone(),
+                permit: grant.permit,
+                outcome,
+            }];
+            let routes: Vec<Route> = map.route(&cell).into_iter().collect();
+            actions.extend(self.resubmit(bid, &routes, now));
+            return actions;
+        };
+        let Some(waiter) = self.waiters.remove(&grant.request) else {
+            return vec![Action::Return {
+                owner,
+                cell,
+                permit: grant.permit,
+                outcome: Outcome::Returned,
+            }];
+        };
+        let far = target.backend.region != board.settings.region;
+        let used = InUse {
+            owner: owner.clone(),
+            endpoint: grant.endpoint.clone(),
+            bid,
+        };
+        self.in_use.insert((cell.clone(), grant.permit), used);
+        let address = target.address;
+        let assignment = Assignment {
+            owner,
+            cell,
+            grant,
+            address,
+            far,
+        };
+        if let Err(Verdict::Run(lost)) = waiter.send(Verdict::Run(Box::new(assignment))) {
+            self.in_use.remove(&(lost.cell.clone(), lost.grant.permit));
+            let (owner, cell, permit) = (lost.owner, lost.cell, lost.grant.permit);
+            return vec![Action::Return {
+                owner,
+                cell,
+                permit,
+                outcome: Outcome::Returned,
+            }];
+        }
+        Vec::new()
+    }
+
+    /// Registers a request again whose grant could not be used; by the next tick, not at once.
+    fn resubmit(&mut self, bid: Bid, routes: &[Route], now: Time) -> Vec<Action> {
+        let actions = self.holder.submit(bid, routes, now);
+        // Registering with an owner that grants the same endpoint again would not end.
+        actions
+            .into_iter()
+            .filter(|action| matches!(action, Action::Refuse { .. }))
+            .collect()
+    }
+
+    fn refuse(&mut self, request: RequestId, code: Code) {
+        if let Some(waiter) = self.waiters.remove(&request) {
+            let _ = waiter.send(Verdict::Refuse(code));
+        }
+    }
+
+    fn send(&self, board: &Blackboard, to: &InstanceId, frame: Frame) {
+        let address = board.roster.lock().record(to).map(|record| record.address);
+        if let Some(address) = address {
+            board.link.send(address, frame);
+        }
+    }
+
+    /// Asks other regions for requests that wait too long at home, within the byte budget.
+    fn spill(&mut self, board: &Blackboard, map: &Map, now: Time) {
+        /// Bytes of one streamed token with its framing.
+        const BYTES_PER_TOKEN: f64 = 180.0;
+        let limits = &board.settings.limits;
+        #[allow(clippy::cast_precision_loss, reason = "byte rates are far below 2^52")]
+        let rate = limits.cross_region.get() as f64;
+        let passed = now.since(self.spilled_at).as_secs_f64();
+        self.spilled_at = now;
+        self.spilled_bytes = (self.spilled_bytes - passed * rate).max(0.0);
+        for (request, cell) in self.holder.stuck(limits.spill_after, now) {
+            if self.spilled_bytes > rate {
+                return;
+            }
+            let Some(bid) = self.holder.bids().find(|bid| bid.request == request) else {
+                continue;
+            };
+            #[allow(
+                clippy::cast_precision_loss,
+                reason = "token counts are far below 2^52"
+            )]
+            let cost = bid.prompt.get() as f64 * 4.0 + bid.output.get() as f64 * BYTES_PER_TOKEN;
+            let others = map.cells_in(&cell.service, &cell.region, false);
+            let Some(route) = others.first().and_then(|other| map.route(other)) else {
+                continue;
+            };
+            self.spilled_bytes += cost;
+            let actions = self.holder.register(request, &route, now);
+            self.perform(board, actions, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk/baseline.rs
@@ -0,0 +1,111 @@
+//! Baseline policies: the gateway chooses alone and sends at once.
+
+use super::{Assignment, InUse, Inner, Verdict};
+use crate::{blackboard::Blackboard, map::Target};
+use codes::Code;
+use sched::{
+    Bid, CellId, Grant, Reason,
+    policy::{Candidate, Chooser},
+};
+use std::collections::HashMap;
+use tokio::sync::oneshot;
+use units::{EndpointId, Permit, ServiceId, Time};
+
+/// Turn counter and requests in flight by endpoint.
+#[derive(Debug, Default)]
+pub struct State {
+    chooser: Chooser,
+    in_flight: HashMap<EndpointId, u32>,
+    permits: u64,
+}
+
+impl State {
+    /// Notes that a request ended.
+    pub fn ended(&mut self, endpoint: &EndpointId) {
+        if let Some(count) = self.in_flight.get_mut(endpoint) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
+impl Inner {
+    /// Chooses an endpoint at once.
+    pub(super) fn submit_baseline(
+        &mut self,
+        board: &Blackboard,
+        service: &ServiceId,
+        bid: Bid,
+        sender: oneshot::Sender<Verdict>,
+    ) {
+        let map = board.map();
+        let targets = map.live(service);
+        let candidates: Vec<Candidate> = targets
+            .iter()
+            .map(|target| self.candidate(board, target))
+            .collect();
+        let policy = board.settings.policy;
+        let choice = self
+            .baseline
+            .chooser
+            .choose(policy, &candidates, &mut rand::rng());
+        let Some(target) = choice.and_then(|index| targets.get(index)) else {
+            let _ = sender.send(Verdict::Refuse(Code::NoEndpoint));
+            return;
+        };
+        let assignment = self.assign_baseline(board, target, &bid);
+        let key = (assignment.cell.clone(), assignment.grant.permit);
+        let (owner, endpoint) = (assignment.owner.clone(), assignment.grant.endpoint.clone());
+        self.in_use.insert(
+            key,
+            InUse {
+                owner,
+                endpoint,
+                bid,
+            },
+        );
+        let _ = sender.send(Verdict::Run(Box::new(assignment)));
+    }
+
+    fn candidate(&self, board: &Blackboard, target: &Target) -> Candidate {
+        let endpoint = target.backend.endpoint.clone();
+        let report = board.reports.read().get(&endpoint).copied();
+        Candidate {
+            reported: report.map_or(0, |r| r.load.running + r.load.waiting),
+            reported_at: report.map_or(Time::ZERO, |r| r.at),
+            own: self.baseline.in_flight.get(&endpoint).copied().unwrap_or(0),
+            endpoint,
+        }
+    }
+
+    fn assign_baseline(&mut self, board: &Blackboard, target: &Target, bid: &Bid) -> Assignment {
+        let backend = &target.backend;
+        *self
+            .baseline
+            .in_flight
+            .entry(backend.endpoint.clone())
+            .or_default() += 1;
+        self.baseline.permits += 1;
+        let grant = Grant {
+            request: bid.request,
+            holder: bid.holder.clone(),
+            permit: Permit(self.baseline.permits),
+            endpoint: backend.endpoint.clone(),
+            reason: Reason::Baseline,
+            runners_up: Box::new([]),
+        };
+        let cell = CellId {
+            service: backend.service.clone(),
+            region: backend.region.clone(),
+            shard: u16::MAX,
+        };
+        let owner = board.settings.instance.clone();
+        let far = backend.region != board.settings.region;
+        Assignment {
+            owner,
+            cell,
+            grant,
+            address: target.address,
+            far,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http.rs
@@ -0,0 +1,106 @@
+//! HTTP towards callers and operators.
+
+mod chat;
+mod exchange;
+mod intake;
+mod operator;
+mod plain;
+mod pump;
+mod reply;
+
+use crate::blackboard::Blackboard;
+use anyhow::Result;
+use ntex::{
+    SharedCfg,
+    http::HttpServiceConfig,
+    server::Server,
+    time::Seconds,
+    web::{self, App, HttpServer},
+};
+use std::{net::TcpListener, sync::Arc};
+
+/// Threads that serve callers.
+const WORKERS: usize = 2;
+/// Connections of operators.
+const OPERATOR_CONNECTIONS: usize = 64;
+/// Time for headers to arrive.
+const HEADER_TIMEOUT: Seconds = Seconds(5);
+/// Least rate at which headers must arrive, in bytes a second.
+const HEADER_RATE: u32 = 256;
+/// Time after which an idle connection of a caller is closed.
+const KEEP_ALIVE: Seconds = Seconds(30);
+
+/// Blackboard in handlers.
+pub type Board = web::types::State<Arc<Blackboard>>;
+/// Client of endpoints in handlers.
+pub type Engines = web::types::State<engine::Client>;
+
+/// Starts the servers on listeners that are bound already.
+///
+/// # Errors
+/// A listener that cannot be used.
+pub fn serve(
+    board: &Arc<Blackboard>,
+    callers: TcpListener,
+    operators: TcpListener,
+) -> Result<Vec<Server>> {
+    Ok(vec![
+        serve_callers(board, callers)?,
+        serve_operators(board, operators)?,
+    ])
+}
+
+fn serve_callers(board: &Arc<Blackboard>, listener: TcpListener) -> Result<Server> {
+    let limits = &board.settings.limits;
+    let header = usize::try_from(limits.header.get()).unwrap_or(usize::MAX);
+    let connections = limits.connections.div_ceil(WORKERS);
+    let config = HttpServiceConfig::new()
+        .set_keepalive(KEEP_ALIVE)
+        .set_max_buf_size(header)
+        .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, HEADER_RATE);
+    let board = Arc::clone(board);
+    let factory = async move || {
+        let engines = engine::Client::new()
+            .await
+            .expect("the HTTP client has no fallible setting");
+        App::new()
+            .state(Arc::clone(&board))
+            .state(engines)
+            .service((
+                web::resource("/v1/chat/completions").route(web::post().to(chat::complete)),
+                web::resource("/services/{service}/{path}*").to(plain::call),
+            ))
+            .default_service(web::route().to(reply::unknown_path))
+    };
+    Ok(HttpServer::new(factory)
+        .config(SharedCfg::new("callers").add(config))
+        .listen(listener)?
+        .workers(WORKERS)
+        .maxconn(connections)
+        .disable_signals()
+        .run())
+}
+
+fn serve_operators(board: &Arc<Blackboard>, listener: TcpListener) -> Result<Server> {
+    let board = Arc::clone(board);
+    let factory = async move || {
+        App::new()
+            .state(Arc::clone(&board))
+            .state(web::types::PayloadConfig::new(wire::MAX_FRAME_BYTES))
+            .service((
+                web::resource("/health").route(web::get().to(operator::health)),
+                web::resource("/ready").route(web::get().to(operator::ready)),
+                web::resource("/status").route(web::get().to(operator::status)),
+                web::resource("/publication").route(web::post().to(operator::publication)),
+                web::resource("/drain/{endpoint}")
+                    .route(web::post().to(operator::drain))
+                    .route(web::delete().to(operator::undrain)),
+            ))
+    };
+    Ok(HttpServer::new(factory)
+        .listen(listener)?
+        .workers(1)
+        .maxconn(OPERATOR_CONNECTIONS)
+        .disable_signals()
+        .run())
+}
--- /dev/null
+++ b/crates/gateway/src/http/intake.rs
@@ -0,0 +1,200 @@
+//! Checks of a request before it is accepted.
+//!
+//! Everything here ends before the request costs an endpoint anything.
+
+use super::reply::Refused;
+use crate::blackboard::Blackboard;
+use codes::Code;
+use guild::service;
+use ntex::{
+    util::{Bytes, BytesMut},
+    web::{HttpRequest, types::Payload},
+};
+use sched::strike::Verdict;
+use std::{
+    str::FromStr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use units::{
+    Fingerprint, IdempotencyKey, OrganisationId, Rank, RequestId, ServiceId, TierId, Time,
+};
+
+/// Header with the organisation.
+const ORGANISATION: &str = "bamboo-organisation";
+/// Header with the tier.
+const TIER: &str = "bamboo-tier";
+/// Header with the time in milliseconds within which the whole answer is of use.
+const DEADLINE_MS: &str = "bamboo-deadline-ms";
+/// Header that makes a repeated call recognisable.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Counts a request in progress while it lives.
+#[derive(Debug)]
+pub struct Progress {
+    board: Arc<Blackboard>,
+}
+
+impl Progress {
+    /// Counts one more request.
+    pub fn new(board: &Arc<Blackboard>) -> Self {
+        board.in_progress.fetch_add(1, Ordering::Relaxed);
+        Self {
+            board: Arc::clone(board),
+        }
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.board.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Headers of a request, parsed.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Request.
+    pub request: RequestId,
+    /// When it arrived.
+    pub arrived: Time,
+    /// Member that offers it.
+    pub organisation: OrganisationId,
+    /// Tier, when it names one.
+    pub tier: Option<TierId>,
+    /// Latest time of the whole answer.
+    pub deadline: Time,
+    /// Key of a repeatable call.
+    pub key: Option<IdempotencyKey>,
+}
+
+/// Accepted request.
+#[derive(Debug, Clone)]
+pub struct Intake {
+    /// Headers.
+    pub head: Head,
+    /// Service.
+    pub service: ServiceId,
+    /// Whether streams can be resumed.
+    pub resumable: bool,
+    /// Tier's rank.
+    pub rank: Rank,
+    /// Hash of the request.
+    pub fingerprint: Fingerprint,
+    /// Whether an endpoint failed under the same request before.
+    pub suspect: bool,
+}
+
+/// Reads the headers.
+pub fn head(board: &Blackboard, http: &HttpRequest) -> Result<Head, Refused> {
+    let request = RequestId::random(&mut rand::rng());
+    let arrived = board.now();
+    if !board.is_ready() {
+        return Err(not_ready(board, request));
+    }
+    let malformed = |detail: String| Refused::new(request, Code::Malformed, &detail);
+    let organisation = parse(http, ORGANISATION).map_err(malformed)?;
+    let organisation =
+        organisation.ok_or_else(|| malformed(format!("header {ORGANISATION} is missing")))?;
+    let tier = parse(http, TIER).map_err(malformed)?;
+    let key = parse(http, IDEMPOTENCY_KEY).map_err(malformed)?;
+    let span: Option<u64> = parse(http, DEADLINE_MS).map_err(malformed)?;
+    let limits = &board.settings.limits;
+    let span = span.map_or(limits.default_deadline, Duration::from_millis);
+    let deadline = arrived + span.min(limits.max_deadline);
+    Ok(Head {
+        request,
+        arrived,
+        organisation,
+        tier,
+        deadline,
+        key,
+    })
+}
+
+fn not_ready(board: &Blackboard, request: RequestId) -> Refused {
+    match board.phase() {
+        crate::blackboard::Phase::Serving => Refused::new(
+            request,
+            Code::NotReady,
+            "no configuration in force, or just resumed",
+        ),
+        _ => Refused::new(
+            request,
+            Code::Draining,
+            "this gateway takes no new requests",
+        ),
+    }
+}
+
+fn parse<T: FromStr>(http: &HttpRequest, name: &str) -> Result<Option<T>, String>
+where
+    T::Err: std::fmt::Display,
+{
+    let Some(value) = http.headers().get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| format!("header {name} is not ASCII"))?;
+    text.parse()
+        .map(Some)
+        .map_err(|e| format!("header {name}: {e}"))
+}
+
+/// Reads the body within its limits of size and time.
+pub async fn body(
+    board: &Blackboard,
+    request: RequestId,
+    mut payload: Payload,
+) -> Result<Bytes, Refused> {
+    let limits = &board.settings.limits;
+    let limit = usize::try_from(limits.body.get()).unwrap_or(usize::MAX);
+    let whole = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.recv().await {
+            let chunk =
+                chunk.map_err(|e| Refused::new(request, Code::Malformed, &e.to_string()))?;
+            if body.len() + chunk.len() > limit {
+                let detail = format!("the limit is {limit} bytes");
+                return Err(Refused::new(request, Code::BodyTooLarge, &detail));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    match tokio::time::timeout(limits.body_timeout, whole).await {
+        Ok(result) => result,
+        Err(_) => Err(Refused::new(
+            request,
+            Code::SlowSender,
+            "the body did not arrive in time",
+        )),
+    }
+}
+
+/// Rank of the tier that the request names, or of `fallback`.
+pub fn rank(file: &service::File, head: &Head, fallback: &TierId) -> Result<Rank, Refused> {
+    let tier = head.tier.as_ref().unwrap_or(fallback);
+    file.rank(tier).ok_or_else(|| {
+        let tiers: Vec<&str> = file.tiers.iter().map(TierId::as_str).collect();
+        let detail = format!("{tier}; allowed: {}", tiers.join(", "));
+        Refused::new(head.request, Code::UnknownTier, &detail)
+    })
+}
+
+/// Whether the request is a suspect; quarantined ones are refused.
+pub fn suspect(board: &Blackboard, request: RequestId, of: Fingerprint) -> Result<bool, Refused> {
+    let now = board.now();
+    match board.ledger.lock().verdict(of, now) {
+        Verdict::Clear => Ok(false),
+        Verdict::Suspect => Ok(true),
+        Verdict::Quarantined { until } => {
+            let detail = format!(
+                "endpoints failed under this request; quarantined for {} s",
+                until.since(now).as_secs()
+            );
+            Err(Refused::new(request, Code::Quarantined, &detail))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,63 @@
+//! Gateway: takes callers' requests, decides, dispatches, streams answers back.
+//!
+//! Every instance runs this one process; membership, cells, configuration and
+//! claims are controllers inside it, since no instance is set aside for
+//! control. Controllers and handlers meet at the [`blackboard`]: a controller
+//! reads what others have written there, decides by code of the pure crates,
+//! and writes the result back.
+//!
+//! Threads: the main thread runs the controllers and the peers' connections;
+//! callers are served by worker threads; operators by one more.
+
+mod blackboard;
+mod controller;
+mod desk;
+mod estimate;
+mod http;
+mod map;
+mod metrics;
+mod run;
+mod settings;
+
+use anyhow::Result;
+use codes::{Code, Loss, root_logger};
+use std::{path::PathBuf, process::ExitCode};
+
+/// Gateway of bambooroad.
+#[derive(argh::FromArgs)]
+struct Options {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings and stop
+    #[argh(switch)]
+    check_settings: bool,
+}
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    let settings = match settings::read(&options.settings) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{}: {e:#}", Code::InvalidSettings);
+            return ExitCode::from(2);
+        }
+    };
+    if options.check_settings {
+        println!("settings ok");
+        return ExitCode::SUCCESS;
+    }
+    let (log, guard) = root_logger(Loss::DropAndReport);
+    let result: Result<()> = run::run(settings, log.clone()).await;
+    let code = match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            slog::error!(log, "gateway failed"; "error" => format!("{e:#}"));
+            ExitCode::FAILURE
+        }
+    };
+    drop(log);
+    drop(guard);
+    code
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,154 @@
+//! Start and end of the process.
+
+use crate::{
+    blackboard::{Blackboard, Counters, Phase},
+    controller,
+    desk::Desk,
+    estimate::Estimator,
+    http,
+    metrics::Metrics,
+    settings::Settings,
+};
+use anyhow::{Context, Result};
+use codes::Event;
+use link::{Identity, Incoming, Link};
+use member::{Config, Record, Roster, State};
+use parking_lot::{Mutex, RwLock};
+use slog::{Logger, info, o};
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize},
+    },
+    time::Duration,
+};
+use tokio::sync::{Notify, mpsc, watch};
+use units::{Time, time::Clock};
+
+/// Calls that may wait for a controller.
+const QUEUE_CALLS: usize = 4096;
+/// Time for peers to hear that this gateway leaves.
+const FAREWELL: Duration = Duration::from_millis(300);
+
+/// Receiving ends of the controllers' queues.
+#[derive(Debug)]
+pub struct Queues {
+    /// Frames of peers.
+    pub incoming: mpsc::Receiver<Incoming>,
+    /// Calls to the claims controller.
+    pub claims: mpsc::Receiver<controller::claims::Call>,
+    /// Documents for the configuration controller.
+    pub documents: mpsc::Receiver<wire::guild_bytes::Document>,
+}
+
+/// Addresses that were bound.
+#[derive(Debug, Clone, Copy)]
+pub struct Bound {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Peers.
+    pub peers: SocketAddr,
+    /// Operators.
+    pub operators: SocketAddr,
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+/// An address that cannot be bound or an identity that cannot be used.
+pub async fn run(settings: Settings, log: Logger) -> Result<()> {
+    let log = log.new(o!("instance" => settings.instance.to_string()));
+    let callers = bind(settings.listen.callers)?;
+    let operators = bind(settings.listen.operators)?;
+    let identity = identity(&settings)?;
+    let (link, incoming) = Link::bind(
+        settings.instance.clone(),
+        settings.listen.peers,
+        &identity,
+        log.clone(),
+    )?;
+    let bound = Bound {
+        callers: callers.local_addr()?,
+        peers: link.local_address()?,
+        operators: operators.local_addr()?,
+    };
+    let (board, queues) = blackboard(settings, log, link, incoming, bound)?;
+    controller::spawn_all(&board, queues, bound).await?;
+    let servers = http::serve(&board, callers, operators)?;
+    info!(board.log, "started"; Event::Started, "callers" => %bound.callers,
+        "peers" => %bound.peers, "operators" => %bound.operators);
+    controller::shutdown::wait(&board).await;
+    let farewell = board.roster.lock().leave(board.now());
+    controller::membership::perform(&board, farewell);
+    board.link.close(FAREWELL).await;
+    for server in servers {
+        server.stop(true).await;
+    }
+    info!(board.log, "stopped"; Event::Stopped);
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).with_context(|| format!("binding {address}"))
+}
+
+/// Identity from the files that the settings name.
+pub fn identity(settings: &Settings) -> Result<Identity> {
+    let peers = &settings.peers;
+    Identity::read(&peers.certificate, &peers.key, &peers.authorities)
+}
+
+fn blackboard(
+    settings: Settings,
+    log: Logger,
+    link: Link,
+    incoming: mpsc::Receiver<Incoming>,
+    bound: Bound,
+) -> Result<(Arc<Blackboard>, Queues)> {
+    let (claims, claim_calls) = mpsc::channel(QUEUE_CALLS);
+    let (documents, document_calls) = mpsc::channel(QUEUE_CALLS);
+    let me = Record {
+        instance: settings.instance.clone(),
+        address: bound.peers,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        incarnation: crate::blackboard::wall_ms(),
+        state: State::Alive,
+    };
+    let clock = Clock::new();
+    let mut roster = Roster::new(me, Config::default(), Time::ZERO);
+    roster.set_seeds(settings.peers.seeds.clone());
+    let board = Blackboard {
+        metrics: Metrics::new(settings.metrics)?,
+        settings,
+        clock,
+        log,
+        link,
+        roster: Mutex::new(roster),
+        config: RwLock::new(None),
+        listed: RwLock::default(),
+        leaving: Mutex::default(),
+        map: RwLock::default(),
+        remap: Notify::new(),
+        reports: RwLock::default(),
+        ledger: Mutex::default(),
+        desk: Desk::default(),
+        estimator: Estimator::default(),
+        counters: Counters::default(),
+        in_progress: AtomicUsize::new(0),
+        phase: watch::Sender::new(Phase::Serving),
+        stale: AtomicBool::new(false),
+        stalled_at: AtomicU64::new(0),
+        last_tick: AtomicU64::new(0),
+        store_up: AtomicBool::new(true),
+        claims,
+        documents,
+    };
+    let queues = Queues {
+        incoming,
+        claims: claim_calls,
+        documents: document_calls,
+    };
+    Ok((Arc::new(board), queues))
+}
--- /dev/null
+++ b/crates/harness/src/guild.rs
@@ -0,0 +1,355 @@
+//! A whole guild: platform, endpoints and gateways.
+
+use crate::{
+    build::{Profile, binary, root},
+    client::Client,
+    process::Process,
+};
+use anyhow::{Context, Result, bail};
+use link::Authority;
+use serde_json::Value;
+use std::{
+    collections::HashMap,
+    fmt::Write as _,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+
+/// Time for every gateway to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// What is started.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    /// How binaries are built.
+    pub profile: Profile,
+    /// Fleet file; no endpoints are started when empty.
+    pub fleet: PathBuf,
+    /// Folder of service files.
+    pub services: PathBuf,
+    /// Gateways.
+    pub gateways: usize,
+    /// Policy of the gateways.
+    pub policy: String,
+    /// Zones and regions that gateways are spread over.
+    pub places: Vec<(String, String)>,
+    /// Lines for the `[limits]` table.
+    pub limits: String,
+    /// Delay of the directory.
+    pub directory_lag_ms: u64,
+}
+
+impl Shape {
+    /// Small guild of the roofcare example: `gateways` gateways in one zone.
+    #[must_use]
+    pub fn new(gateways: usize) -> Self {
+        let roofcare = root().join("examples/roofcare");
+        Self {
+            profile: Profile::Debug,
+            fleet: roofcare.join("fleet.toml"),
+            services: roofcare.join("services"),
+            gateways,
+            policy: "permits".into(),
+            places: vec![
+                ("adajan".into(), "tapi-west".into()),
+                ("rander".into(), "tapi-west".into()),
+                ("naroda".into(), "sabar-north".into()),
+            ],
+            limits: String::new(),
+            directory_lag_ms: 300,
+        }
+    }
+
+    /// Same shape with another fleet, given as text.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn with_fleet(mut self, folder: &Path, text: &str) -> Result<Self> {
+        self.fleet = folder.join("fleet.toml");
+        std::fs::write(&self.fleet, text)?;
+        Ok(self)
+    }
+
+    /// Same shape with lines for the `[limits]` table.
+    #[must_use]
+    pub fn with_limits(mut self, lines: &str) -> Self {
+        self.limits = lines.into();
+        self
+    }
+}
+
+/// Gateway process with its addresses.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Process.
+    pub process: Process,
+    /// Address of callers.
+    pub callers: SocketAddr,
+    /// Address of operators.
+    pub operators: SocketAddr,
+    /// Address of peers.
+    pub peers: SocketAddr,
+}
+
+/// Running guild.
+#[derive(Debug)]
+pub struct Guild {
+    /// What was started.
+    pub shape: Shape,
+    /// Folder of keys and settings.
+    pub folder: TempDir,
+    /// Platform.
+    pub platform: Process,
+    /// Address of the platform.
+    pub platform_address: SocketAddr,
+    /// Endpoints.
+    pub endpoints: Process,
+    /// Address of the endpoints' control calls.
+    pub control_address: SocketAddr,
+    /// Address of each endpoint.
+    pub endpoint_addresses: HashMap<String, SocketAddr>,
+    /// Gateways.
+    pub gateways: Vec<Gateway>,
+    authority: Authority,
+    started: usize,
+}
+
+fn address_in(line: &str) -> Result<SocketAddr> {
+    let last = line.split_whitespace().last().unwrap_or_default();
+    last.parse()
+        .with_context(|| format!("no address in {line:?}"))
+}
+
+fn text(path: &Path) -> &str {
+    path.to_str().unwrap_or_default()
+}
+
+impl Guild {
+    /// Starts everything and waits until every gateway is ready.
+    ///
+    /// # Errors
+    /// Something does not start in time.
+    pub async fn start(shape: Shape) -> Result<Self> {
+        let mut guild = Self::start_platform(shape)?;
+        guild.publish(&[])?;
+        for _ in 0..guild.shape.gateways {
+            guild.add_gateway()?;
+        }
+        guild.wait_ready().await?;
+        Ok(guild)
+    }
+
+    /// Starts platform and endpoints, without a publication and gateways.
+    ///
+    /// # Errors
+    /// Something does not start in time.
+    pub fn start_platform(shape: Shape) -> Result<Self> {
+        let lag = shape.directory_lag_ms.to_string();
+        let platform = Process::start(
+            &binary(shape.profile, "fake-platform")?,
+            &["--directory-lag-ms", &lag],
+        )?;
+        let platform_address = address_in(&platform.wait_line("listening")?)?;
+        let endpoints = Process::start(
+            &binary(shape.profile, "fake-engine")?,
+            &[
+                "--fleet",
+                text(&shape.fleet),
+                "--platform",
+                &platform_address.to_string(),
+            ],
+        )?;
+        let control_address = address_in(&endpoints.wait_line("listening")?)?;
+        let mut endpoint_addresses = HashMap::new();
+        for line in endpoints
+            .lines()
+            .iter()
+            .filter(|line| line.starts_with("endpoint "))
+        {
+            let name = line.split_whitespace().nth(1).unwrap_or_default();
+            endpoint_addresses.insert(name.to_owned(), address_in(line)?);
+        }
+        let folder = TempDir::new()?;
+        let authority = Authority::generate()?;
+        std::fs::write(folder.path().join("authority.pem"), authority.pem())?;
+        Ok(Self {
+            shape,
+            folder,
+            platform,
+            platform_address,
+            endpoints,
+            control_address,
+            endpoint_addresses,
+            gateways: Vec::new(),
+            authority,
+            started: 0,
+        })
+    }
+
+    /// Runs the operators' command line and gives its exit code and output.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn operate(&self, arguments: &[&str]) -> Result<(i32, String)> {
+        let binary = binary(self.shape.profile, "bambooroad")?;
+        let output = std::process::Command::new(binary)
+            .args(arguments)
+            .output()?;
+        let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text += &String::from_utf8_lossy(&output.stderr);
+        Ok((output.status.code().unwrap_or(-1), text))
+    }
+
+    /// Publishes the shape's service files.
+    ///
+    /// # Errors
+    /// The publication was refused.
+    pub fn publish(&self, extra: &[&str]) -> Result<String> {
+        let table = self.platform_address.to_string();
+        let mut arguments = vec!["publish", "--table", &table];
+        arguments.extend(extra);
+        arguments.push(text(&self.shape.services));
+        let (code, output) = self.operate(&arguments)?;
+        anyhow::ensure!(code == 0, "publish: {output}");
+        Ok(output)
+    }
+
+    /// Starts one more gateway; gives its position.
+    ///
+    /// # Errors
+    /// It does not start in time.
+    pub fn add_gateway(&mut self) -> Result<usize> {
+        self.started += 1;
+        let name = format!("gw-{}", self.started);
+        let (certificate, key) = self.authority.issue()?;
+        let path = |suffix: &str| self.folder.path().join(format!("{name}{suffix}"));
+        std::fs::write(path(".pem"), certificate)?;
+        std::fs::write(path(".key.pem"), key)?;
+        let settings = self.settings(&name);
+        std::fs::write(path(".toml"), settings)?;
+        let binary = binary(self.shape.profile, "bamboo-gateway")?;
+        let process = Process::start(&binary, &["--settings", text(&path(".toml"))])?;
+        let line = process.wait_line("\"name\":\"Started\"")?;
+        let started: Value = serde_json::from_str(&line)?;
+        let address = |key: &str| -> Result<SocketAddr> {
+            Ok(started[key].as_str().unwrap_or_default().parse()?)
+        };
+        let (callers, operators) = (address("callers")?, address("operators")?);
+        let peers = address("peers")?;
+        self.gateways.push(Gateway {
+            process,
+            callers,
+            operators,
+            peers,
+        });
+        Ok(self.gateways.len() - 1)
+    }
+
+    fn settings(&self, name: &str) -> String {
+        let place = &self.shape.places[(self.started - 1) % self.shape.places.len()];
+        let folder = self.folder.path().display();
+        let seeds: Vec<String> = self
+            .gateways
+            .iter()
+            .take(2)
+            .map(|gateway| format!("\"{}\"", gateway.peers))
+            .collect();
+        let mut settings = String::new();
+        let _ = write!(
+            settings,
+            "instance = \"{name}\"\nzone = \"{}\"\nregion = \"{}\"\npolicy = \"{}\"\n\
+             [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             [peers]\ncertificate = \"{folder}/{name}.pem\"\nkey = \"{folder}/{name}.key.pem\"\n\
+             authorities = [\"{folder}/authority.pem\"]\nseeds = [{}]\n\
+             [platform]\ntable = \"{platform}\"\nobjects = \"{platform}\"\n\
+             directory = \"{platform}\"\nregister = true\n[limits]\n{}\n",
+            place.0,
+            place.1,
+            self.shape.policy,
+            seeds.join(", "),
+            self.shape.limits,
+            platform = self.platform_address,
+        );
+        settings
+    }
+
+    /// Waits until every gateway is ready, knows every other and every endpoint.
+    ///
+    /// # Errors
+    /// They are not in time.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let client = Client::new().await?;
+        let until = Instant::now() + READY_TIMEOUT;
+        for gateway in &self.gateways {
+            while !self.is_ready(&client, gateway.operators).await {
+                if Instant::now() > until {
+                    let status = client.get(gateway.operators, "/status").await?.body;
+                    bail!("gateway not ready: {status}");
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self, client: &Client, operators: SocketAddr) -> bool {
+        let Ok(answer) = client.get(operators, "/status").await else {
+            return false;
+        };
+        let status = answer.json();
+        let alive = status["members"].as_array().map_or(0, |members| {
+            members
+                .iter()
+                .filter(|member| member["state"] == "Alive")
+                .count()
+        });
+        let endpoints = status["endpoints"].as_array().map_or(0, Vec::len);
+        status["ready"] == true
+            && alive == self.gateways.len()
+            && endpoints == self.endpoint_addresses.len()
+    }
+
+    /// Switches failures of the platform.
+    ///
+    /// # Errors
+    /// The platform does not answer.
+    pub async fn control_platform(&self, client: &Client, switches: &str) -> Result<()> {
+        let answer = client
+            .post(self.platform_address, "/control", switches)
+            .await?;
+        anyhow::ensure!(answer.status == 200, "control: {}", answer.body);
+        Ok(())
+    }
+
+    /// Does something to an endpoint.
+    ///
+    /// # Errors
+    /// The endpoints do not answer.
+    pub async fn control(&self, client: &Client, endpoint: &str, control: &str) -> Result<()> {
+        let path = format!("/control/{endpoint}");
+        let answer = client.post(self.control_address, &path, control).await?;
+        anyhow::ensure!(answer.status == 200, "control: {}", answer.body);
+        Ok(())
+    }
+
+    /// Counts of every endpoint.
+    ///
+    /// # Errors
+    /// The endpoints do not answer.
+    pub async fn stats(&self, client: &Client) -> Result<Value> {
+        Ok(client.get(self.control_address, "/stats").await?.json())
+    }
+
+    /// Status of a gateway.
+    ///
+    /// # Errors
+    /// The gateway does not answer.
+    pub async fn status(&self, client: &Client, gateway: usize) -> Result<Value> {
+        Ok(client
+            .get(self.gateways[gateway].operators, "/status")
+            .await?
+            .json())
+    }
+}
--- /dev/null
+++ b/crates/harness/src/lib.rs
@@ -0,0 +1,17 @@
+//! Starts the real processes over loopback, for tests and measurements.
+//!
+//! Processes are children of the one that uses this crate, on ports that the
+//! system gives, and end with the [`Guild`] that started them. Signals are
+//! sent by process id, to own children only.
+
+mod build;
+mod client;
+mod guild;
+mod process;
+
+pub use self::{
+    build::{Profile, binary},
+    client::{Answer, Client},
+    guild::{Guild, Shape},
+    process::{Process, Signal},
+};
--- /dev/null
+++ b/crates/harness/src/process.rs
@@ -0,0 +1,173 @@
+//! One child process with its output.
+
+use anyhow::{Context, Result, bail};
+use std::{
+    io::{BufRead, BufReader},
+    path::Path,
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+/// Time for an expected line of output.
+const LINE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which output is looked at.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Signal to a child.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// End in order.
+    Terminate,
+    /// End at once.
+    Kill,
+    /// Pause.
+    Stop,
+    /// Go on.
+    Continue,
+}
+
+impl Signal {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Terminate => "-TERM",
+            Self::Kill => "-KILL",
+            Self::Stop => "-STOP",
+            Self::Continue => "-CONT",
+        }
+    }
+}
+
+/// Running child; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    /// Starts `binary` with `arguments`.
+    ///
+    /// # Errors
+    /// The process cannot be started.
+    pub fn start(binary: &Path, arguments: &[&str]) -> Result<Self> {
+        let mut child = Command::new(binary)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("starting {}", binary.display()))?;
+        let output = child.stdout.take().context("the child has no output")?;
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let sink = Arc::clone(&lines);
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                sink.lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(line);
+            }
+        });
+        Ok(Self { child, lines })
+    }
+
+    /// Lines written so far.
+    #[must_use]
+    pub fn lines(&self) -> Vec<String> {
+        self.lines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// First line that contains `text`, waited for.
+    ///
+    /// # Errors
+    /// No such line in time.
+    pub fn wait_line(&self, text: &str) -> Result<String> {
+        let until = Instant::now() + LINE_TIMEOUT;
+        while Instant::now() < until {
+            if let Some(line) = self.lines().into_iter().find(|line| line.contains(text)) {
+                return Ok(line);
+            }
+            std::thread::sleep(STEP);
+        }
+        bail!(
+            "no line with {text:?}; the last are {:?}",
+            self.lines().iter().rev().take(5)
+        )
+    }
+
+    /// Process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// The signal cannot be sent.
+    pub fn signal(&self, signal: Signal) -> Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([signal.name(), &id]).status()?;
+        anyhow::ensure!(status.success(), "kill {} {id} failed", signal.name());
+        Ok(())
+    }
+
+    /// Waits for the end and gives the exit code; none after a signal.
+    ///
+    /// # Errors
+    /// The process does not end in time.
+    pub fn wait(&mut self, limit: Duration) -> Result<Option<i32>> {
+        let until = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.code());
+            }
+            if Instant::now() > until {
+                bail!("the process did not end within {limit:?}");
+            }
+            std::thread::sleep(STEP);
+        }
+    }
+
+    /// Processor time used so far, user and system.
+    ///
+    /// # Errors
+    /// The system does not tell.
+    pub fn cpu(&self) -> Result<Duration> {
+        /// Clock ticks a second of the kernel's accounting.
+        const TICKS_PER_S: f64 = 100.0;
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.id()))?;
+        let rest = text.rsplit_once(')').map_or("", |(_, rest)| rest);
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let ticks = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
+        let total = ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0);
+        Ok(Duration::from_secs_f64(total / TICKS_PER_S))
+    }
+
+    /// Resident memory in bytes.
+    ///
+    /// # Errors
+    /// The system does not tell.
+    pub fn memory(&self) -> Result<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("VmRSS:"))
+            .unwrap_or_default();
+        let kib: u64 = line
+            .split_whitespace()
+            .nth(1)
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(0);
+        Ok(kib * 1024)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/load/src/drive.rs
@@ -0,0 +1,252 @@
+//! Offering a plan.
+
+use crate::{mix::Mix, plan::Offer};
+use anyhow::Result;
+use engine::sse::Splitter;
+use ntex::{
+    SharedCfg,
+    client::{Client, Connector},
+    http::Payload,
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Threads that offer.
+const THREADS: usize = 4;
+/// Time beyond its deadline after which an answer counts as lost.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// How a request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// Whole and right answer.
+    Whole,
+    /// Refusal with its result code.
+    Refused(u16),
+    /// Truthful failure after the request was sent, with its result code.
+    Failed(u16),
+    /// Answer that is not whole and does not say so.
+    Cut,
+    /// Answer to another request.
+    Crossed,
+    /// No answer.
+    Lost,
+}
+
+/// What became of one offer.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// Offer.
+    pub offer: Offer,
+    /// How it ended.
+    pub verdict: Verdict,
+    /// Time to the first token.
+    pub first: Duration,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+    /// Tokens received.
+    pub tokens: u64,
+}
+
+/// Offers a plan to gateways; gives the outcomes in the order of the plan.
+///
+/// # Errors
+/// A thread cannot be started.
+pub async fn drive(plan: &[Offer], gateways: &[SocketAddr], mix: &Mix) -> Result<Vec<Outcome>> {
+    anyhow::ensure!(!gateways.is_empty(), "no gateway is given");
+    let start = Instant::now() + Duration::from_millis(200);
+    let mut threads = Vec::new();
+    for thread in 0..THREADS {
+        let offers: Vec<Offer> = plan.iter().skip(thread).step_by(THREADS).cloned().collect();
+        let gateways = gateways.to_vec();
+        let mix = Arc::new(mix.clone());
+        threads.push(std::thread::spawn(move || {
+            let system = ntex::rt::System::new("load", ntex::rt::DefaultRuntime);
+            system.block_on(offer_all(offers, gateways, mix, start))
+        }));
+    }
+    let joined = tokio::task::spawn_blocking(move || {
+        threads
+            .into_iter()
+            .flat_map(|thread| thread.join().unwrap_or_default())
+            .collect()
+    });
+    let mut outcomes: Vec<Outcome> = joined.await?;
+    outcomes.sort_by_key(|outcome| outcome.offer.at);
+    Ok(outcomes)
+}
+
+async fn offer_all(
+    offers: Vec<Offer>,
+    gateways: Vec<SocketAddr>,
+    mix: Arc<Mix>,
+    start: Instant,
+) -> Vec<Outcome> {
+    let client = Client::builder()
+        .connector::<()>(Connector::new().limit(4096))
+        .disable_timeout()
+        .build(SharedCfg::default())
+        .await;
+    let Ok(client) = client else {
+        return Vec::new();
+    };
+    let mut tasks = Vec::new();
+    for offer in offers {
+        tokio::time::sleep_until((start + offer.at).into()).await;
+        let gateway = gateways[offer.spread % gateways.len()];
+        tasks.push(ntex::rt::spawn(one(
+            client.clone(),
+            gateway,
+            offer,
+            Arc::clone(&mix),
+        )));
+    }
+    let mut outcomes = Vec::new();
+    for task in tasks {
+        if let Ok(outcome) = task.await {
+            outcomes.push(outcome);
+        }
+    }
+    outcomes
+}
+
+async fn one(client: Client, gateway: SocketAddr, offer: Offer, mix: Arc<Mix>) -> Outcome {
+    let started = Instant::now();
+    let limit = mix.tiers[offer.tier].deadline + PATIENCE;
+    let mut outcome = Outcome {
+        offer,
+        verdict: Verdict::Lost,
+        first: Duration::ZERO,
+        gaps: Vec::new(),
+        total: Duration::ZERO,
+        tokens: 0,
+    };
+    let _ = tokio::time::timeout(
+        limit,
+        exchange(client, gateway, &mix, &mut outcome, started),
+    )
+    .await;
+    outcome.total = started.elapsed();
+    outcome
+}
+
+async fn exchange(
+    client: Client,
+    gateway: SocketAddr,
+    mix: &Mix,
+    outcome: &mut Outcome,
+    started: Instant,
+) {
+    let tier = &mix.tiers[outcome.offer.tier];
+    let request = client
+        .post(format!("http://{gateway}/v1/chat/completions"))
+        .set_header("content-type", "application/json")
+        .set_header(
+            "bamboo-organisation",
+            mix.organisations[outcome.offer.organisation].0,
+        )
+        .set_header("bamboo-tier", tier.name)
+        .set_header("bamboo-deadline-ms", tier.deadline.as_millis().to_string());
+    let Ok(response) = request.send_body(outcome.offer.body(mix)).await else {
+        return;
+    };
+    let status = response.status().as_u16();
+    if status != 200 {
+        let body = response.body().await.unwrap_or_default();
+        let problem: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        outcome.verdict = refusal(&problem);
+        return;
+    }
+    if outcome.offer.stream {
+        read_stream(response.take_payload(), outcome, started).await;
+    } else {
+        let body = response
+            .body()
+            .limit(16 * 1024 * 1024)
+            .await
+            .unwrap_or_default();
+        read_whole(&body, outcome, started);
+    }
+}
+
+fn refusal(problem: &serde_json::Value) -> Verdict {
+    let code = problem["code"]
+        .as_u64()
+        .and_then(|code| u16::try_from(code).ok())
+        .unwrap_or(0);
+    match problem["executed"].as_str() {
+        Some("never") => Verdict::Refused(code),
+        Some(_) => Verdict::Failed(code),
+        None => Verdict::Cut,
+    }
+}
+
+async fn read_stream(mut payload: Payload, outcome: &mut Outcome, started: Instant) {
+    let mut splitter = Splitter::new();
+    let mut last = started;
+    outcome.verdict = Verdict::Cut;
+    while let Some(Ok(bytes)) = payload.recv().await {
+        for event in splitter.push(&bytes) {
+            if event.is_done() {
+                let whole = outcome.tokens == outcome.offer.output;
+                outcome.verdict = match outcome.verdict {
+                    Verdict::Crossed => Verdict::Crossed,
+                    _ if whole => Verdict::Whole,
+                    _ => Verdict::Cut,
+                };
+                return;
+            }
+            read_event(&event.data, outcome, started, &mut last);
+        }
+    }
+}
+
+fn read_event(data: &[u8], outcome: &mut Outcome, started: Instant, last: &mut Instant) {
+    let chunk: serde_json::Value = serde_json::from_slice(data).unwrap_or_default();
+    if chunk["code"].is_u64() {
+        outcome.verdict = refusal(&chunk);
+        return;
+    }
+    let Some(content) = chunk["choices"][0]["delta"]["content"].as_str() else {
+        return;
+    };
+    outcome.tokens += 1;
+    if content != format!("{}:{} ", outcome.offer.mark, outcome.tokens) {
+        outcome.verdict = Verdict::Crossed;
+    }
+    let now = Instant::now();
+    if outcome.tokens == 1 {
+        outcome.first = now.duration_since(started);
+    } else {
+        outcome.gaps.push(now.duration_since(*last));
+    }
+    *last = now;
+}
+
+fn read_whole(body: &[u8], outcome: &mut Outcome, started: Instant) {
+    let answer: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+    let content = answer["choices"][0]["message"]["content"]
+        .as_str()
+        .unwrap_or_default();
+    let mark = &outcome.offer.mark;
+    let expected: String = (1..=outcome.offer.output)
+        .map(|i| format!("{mark}:{i} "))
+        .collect();
+    outcome.first = started.elapsed();
+    outcome.tokens = u64::try_from(content.split_whitespace().count()).unwrap_or(0);
+    outcome.verdict = if content == expected {
+        Verdict::Whole
+    } else if content
+        .split_whitespace()
+        .all(|token| token.starts_with(mark.as_str()))
+    {
+        Verdict::Cut
+    } else {
+        Verdict::Crossed
+    };
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,185 @@
+//! Figures of one run.
+
+use crate::{
+    drive::{Outcome, Verdict},
+    mix::Mix,
+};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::{collections::BTreeMap, time::Duration};
+use units::{Tokens, Work};
+
+/// Highest value of histograms, in microseconds.
+const MAX_US: u64 = 600_000_000;
+
+/// Percentiles in milliseconds.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Percentiles {
+    /// Median.
+    pub p50: f64,
+    /// 95 in 100.
+    pub p95: f64,
+    /// 99 in 100.
+    pub p99: f64,
+    /// Values.
+    pub count: u64,
+}
+
+/// Figures of one tier.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct TierReport {
+    /// Requests offered.
+    pub offered: u64,
+    /// Whole answers within the deadline.
+    pub good: u64,
+    /// Whole answers after the deadline.
+    pub late: u64,
+    /// Refusals before anything was sent, by result code.
+    pub refused: BTreeMap<u16, u64>,
+    /// Truthful failures after the request was sent, by result code.
+    pub failed: BTreeMap<u16, u64>,
+    /// Answers cut without a word.
+    pub cut: u64,
+    /// Answers to other requests.
+    pub crossed: u64,
+    /// Requests without an answer.
+    pub lost: u64,
+    /// Work of good answers.
+    pub good_work: u64,
+    /// Work offered.
+    pub offered_work: u64,
+    /// Time to the first token of streamed answers.
+    pub first_ms: Percentiles,
+}
+
+/// Figures of one run.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Report {
+    /// Figures by tier.
+    pub tiers: BTreeMap<String, TierReport>,
+    /// Time to the first token of all streamed answers.
+    pub first_ms: Percentiles,
+    /// Time between tokens.
+    pub gap_ms: Percentiles,
+    /// Work of whole answers by organisation.
+    pub shares: BTreeMap<String, u64>,
+    /// Answers lost, crossed or cut without a word.
+    pub broken: u64,
+}
+
+/// Cost of an offer.
+#[must_use]
+pub fn work(outcome: &Outcome) -> u64 {
+    Work::of(Tokens(outcome.offer.prompt), Tokens(outcome.offer.output)).get()
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_US, 3).expect("the bounds are valid")
+}
+
+fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    let micros = u64::try_from(span.as_micros()).unwrap_or(MAX_US);
+    histogram.saturating_record(micros.max(1));
+}
+
+fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "microseconds are far below 2^52"
+    )]
+    let at = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
+    Percentiles {
+        p50: at(0.5),
+        p95: at(0.95),
+        p99: at(0.99),
+        count: histogram.len(),
+    }
+}
+
+/// Percentiles of the time to the first token of the streamed, whole answers in `outcomes`.
+#[must_use]
+pub fn first_percentiles<'a>(outcomes: impl Iterator<Item = &'a Outcome>) -> Percentiles {
+    let mut first = histogram();
+    for outcome in outcomes.filter(|o| o.offer.stream && o.verdict == Verdict::Whole) {
+        record(&mut first, outcome.first);
+    }
+    percentiles(&first)
+}
+
+impl Report {
+    /// Report of a run.
+    #[must_use]
+    pub fn new(mix: &Mix, outcomes: &[Outcome]) -> Self {
+        let mut report = Self::default();
+        let mut gaps = histogram();
+        for outcome in outcomes {
+            outcome.gaps.iter().for_each(|gap| record(&mut gaps, *gap));
+            report.add(mix, outcome);
+        }
+        for (index, tier) in mix.tiers.iter().enumerate() {
+            let of_tier = outcomes
+                .iter()
+                .filter(|outcome| outcome.offer.tier == index);
+            let entry = report.tiers.entry(tier.name.into()).or_default();
+            entry.first_ms = first_percentiles(of_tier);
+        }
+        report.first_ms = first_percentiles(outcomes.iter());
+        report.gap_ms = percentiles(&gaps);
+        report
+    }
+
+    fn add(&mut self, mix: &Mix, outcome: &Outcome) {
+        let spec = &mix.tiers[outcome.offer.tier];
+        let work = work(outcome);
+        let tier = self.tiers.entry(spec.name.into()).or_default();
+        tier.offered += 1;
+        tier.offered_work += work;
+        match &outcome.verdict {
+            Verdict::Whole if outcome.total <= spec.deadline => {
+                tier.good += 1;
+                tier.good_work += work;
+            }
+            Verdict::Whole => tier.late += 1,
+            Verdict::Refused(code) => *tier.refused.entry(*code).or_default() += 1,
+            Verdict::Failed(code) => *tier.failed.entry(*code).or_default() += 1,
+            Verdict::Cut => tier.cut += 1,
+            Verdict::Crossed => tier.crossed += 1,
+            Verdict::Lost => tier.lost += 1,
+        }
+        if matches!(
+            outcome.verdict,
+            Verdict::Cut | Verdict::Crossed | Verdict::Lost
+        ) {
+            self.broken += 1;
+        }
+        if outcome.verdict == Verdict::Whole {
+            let name = mix.organisations[outcome.offer.organisation].0;
+            *self.shares.entry(name.into()).or_default() += work;
+        }
+    }
+
+    /// Good answers of all tiers.
+    #[must_use]
+    pub fn good(&self) -> u64 {
+        self.tiers.values().map(|tier| tier.good).sum()
+    }
+
+    /// Work of the good answers of all tiers.
+    #[must_use]
+    pub fn good_work(&self) -> u64 {
+        self.tiers.values().map(|tier| tier.good_work).sum()
+    }
+}
+
+/// Jain's index of shares: 1 when all are equal.
+#[must_use]
+#[allow(clippy::cast_precision_loss, reason = "work is far below 2^52")]
+pub fn jain(shares: &[u64]) -> f64 {
+    let sum: f64 = shares.iter().map(|share| *share as f64).sum();
+    let squares: f64 = shares.iter().map(|share| (*share as f64).powi(2)).sum();
+    if squares <= 0.0 {
+        1.0
+    } else {
+        sum * sum / (shares.len() as f64 * squares)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/cell.rs
@@ -0,0 +1,513 @@
+//! One cell of endpoints, as its owner keeps it.
+//!
+//! All state here is soft. After the owner's death the holders register their
+//! waiting requests with the next owner and tell it which permits they use;
+//! until they have, the endpoints' load reports stand in for those permits.
+
+use crate::{
+    bid::{Bid, Grant, Outcome, Reason, RunnerUp, Shed},
+    fair::Queue,
+    prefix::Cache,
+    route::CellId,
+    window::{Change, Window},
+};
+use codes::Code;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+use units::{EndpointId, InstanceId, OrganisationId, Permit, RequestId, Time, Tokens, Work};
+
+/// Time after taking over during which load reports stand in for unknown permits.
+const TAKEOVER: Duration = Duration::from_secs(3);
+/// Suspect bids that may be passed over in one search.
+const MAX_PASSED: usize = 16;
+/// Length of a bucket in which granted work is counted.
+const PACE_BUCKET: Duration = Duration::from_millis(250);
+/// Runners-up that a grant names.
+const RUNNERS_UP: usize = 2;
+/// Part of the expected time to the answer's end that must fit before the deadline.
+const DEADLINE_MARGIN: f64 = 0.8;
+
+/// Limits of a cell's queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Config {
+    /// Most requests that wait.
+    pub waiting: usize,
+    /// Most work that waits, as time at the measured pace.
+    pub horizon: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            waiting: 10_000,
+            horizon: Duration::from_millis(1500),
+        }
+    }
+}
+
+/// Load report of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests that wait inside the engine.
+    pub waiting: u32,
+}
+
+/// What a round of decisions produced.
+#[derive(Debug, Default, PartialEq)]
+pub struct Decisions {
+    /// Rights to send, in order.
+    pub grants: Vec<Grant>,
+    /// Refusals.
+    pub sheds: Vec<Shed>,
+}
+
+#[derive(Debug, Default)]
+struct Slot {
+    window: Window,
+    cache: Cache,
+    leaving: bool,
+    suspects: u32,
+}
+
+#[derive(Debug)]
+struct Use {
+    endpoint: EndpointId,
+    holder: InstanceId,
+    organisation: OrganisationId,
+    prompt: Tokens,
+    charged: Work,
+    suspect: bool,
+}
+
+impl Use {
+    fn new(bid: &Bid, holder: &InstanceId, endpoint: &EndpointId) -> Self {
+        Self {
+            endpoint: endpoint.clone(),
+            holder: holder.clone(),
+            organisation: bid.organisation.clone(),
+            prompt: bid.prompt,
+            charged: bid.work(),
+            suspect: bid.suspect,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Pace {
+    bucket: Time,
+    granted: u64,
+    starved: bool,
+    rate: Option<f64>,
+}
+
+/// Owner's view of a cell.
+#[derive(Debug)]
+pub struct Cell {
+    id: CellId,
+    config: Config,
+    queue: Queue,
+    slots: BTreeMap<EndpointId, Slot>,
+    uses: HashMap<Permit, Use>,
+    next_permit: u64,
+    taken: Time,
+    pace: Pace,
+}
+
+struct Candidate<'a> {
+    endpoint: &'a EndpointId,
+    expected: Duration,
+    cached: Tokens,
+}
+
+impl Cell {
+    /// Cell taken over at `now`; permits are numbered from `first_permit`.
+    #[must_use]
+    pub fn new(id: CellId, config: Config, first_permit: u64, now: Time) -> Self {
+        Self {
+            id,
+            config,
+            queue: Queue::new(),
+            slots: BTreeMap::new(),
+            uses: HashMap::new(),
+            next_permit: first_permit,
+            taken: now,
+            pace: Pace {
+                bucket: now,
+                ..Pace::default()
+            },
+        }
+    }
+
+    /// Name of the cell.
+    #[must_use]
+    pub const fn id(&self) -> &CellId {
+        &self.id
+    }
+
+    /// Requests waiting.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Permits in use.
+    #[must_use]
+    pub fn in_use(&self) -> usize {
+        self.uses.len()
+    }
+
+    /// Endpoints with their permits in use and window limits.
+    pub fn windows(&self) -> impl Iterator<Item = (&EndpointId, usize, f64)> {
+        self.slots
+            .iter()
+            .map(|(id, slot)| (id, slot.window.in_flight(), slot.window.limit()))
+    }
+
+    /// Time that the waiting work takes at the measured pace.
+    #[must_use]
+    pub fn backlog(&self) -> Duration {
+        match self.pace.rate {
+            Some(rate) if rate > 0.0 => {
+                Duration::from_secs_f64((self.queue.work().0 as f64 / rate).min(3600.0))
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Sets the cell's endpoints; what is known of those that stay is kept.
+    pub fn set_endpoints(&mut self, endpoints: &[EndpointId]) {
+        self.slots.retain(|id, _| endpoints.contains(id));
+        for id in endpoints {
+            self.slots.entry(id.clone()).or_default();
+        }
+    }
+
+    /// Sets whether an endpoint is leaving.
+    pub fn set_leaving(&mut self, endpoint: &EndpointId, leaving: bool) {
+        if let Some(slot) = self.slots.get_mut(endpoint) {
+            slot.leaving = leaving;
+        }
+    }
+
+    /// Adds a bid to the queue and sheds what exceeds its limits, lowest tier first.
+    pub fn register(&mut self, bid: Bid) -> Vec<Shed> {
+        self.queue.push(bid);
+        let mut sheds = Vec::new();
+        while self.is_over_limit() {
+            let Some(victim) = self.queue.victim().map(|bid| bid.request) else {
+                break;
+            };
+            let lowest = self.queue.lowest();
+            if let Some(bid) = self.queue.remove(victim) {
+                assert_eq!(
+                    Some(bid.rank),
+                    lowest,
+                    "a higher tier was shed before a lower one"
+                );
+                sheds.push(shed(&bid, Code::QueueFull));
+            }
+        }
+        sheds
+    }
+
+    fn is_over_limit(&self) -> bool {
+        if self.queue.len() > self.config.waiting {
+            return true;
+        }
+        let few = 2 * self.slots.len().max(1);
+        self.queue.len() > few && self.backlog() > self.config.horizon
+    }
+
+    /// Takes a bid out of the queue.
+    pub fn cancel(&mut self, request: RequestId) {
+        self.queue.remove(request);
+    }
+
+    /// Whether the request waits here.
+    #[must_use]
+    pub fn contains(&self, request: RequestId) -> bool {
+        self.queue.contains(request)
+    }
+
+    /// Grants what the windows have room for and refuses what cannot end in time.
+    pub fn decide(&mut self, now: Time) -> Decisions {
+        let mut decisions = Decisions::default();
+        for request in self.queue.expired(now) {
+            if let Some(bid) = self.queue.remove(request) {
+                decisions.sheds.push(shed(&bid, Code::DeadlineUnmeetable));
+            }
+        }
+        while self.grant_next(now, &mut decisions) {}
+        self.close_bucket(now);
+        decisions
+    }
+
+    /// Grants or refuses one bid; false when nothing can be placed now.
+    fn grant_next(&mut self, now: Time, decisions: &mut Decisions) -> bool {
+        let Some((request, choice)) = self.next_placement(now) else {
+            return false;
+        };
+        let Some(choice) = choice else {
+            if let Some(bid) = self.queue.remove(request) {
+                decisions.sheds.push(shed(&bid, Code::DeadlineUnmeetable));
+            }
+            return true;
+        };
+        let Some(bid) = self.queue.serve(request) else {
+            return false;
+        };
+        self.pace.granted += bid.work().0;
+        decisions.grants.push(self.issue(&bid, choice, now));
+        true
+    }
+
+    /// First bid in order that can be placed, and where; without a place it is too late for it.
+    fn next_placement(&self, now: Time) -> Option<(RequestId, Option<Choice>)> {
+        for (passed, bid) in self.queue.heads().enumerate() {
+            let (candidates, isolated) = self.candidates(bid, now);
+            if let Some(choice) = choose(&candidates) {
+                let needed = choice.expected.mul_f64(DEADLINE_MARGIN);
+                let in_time = now + needed <= bid.deadline;
+                return Some((bid.request, in_time.then_some(choice)));
+            }
+            // A bid that only waits for room must not be overtaken by a smaller one.
+            if !isolated || passed == MAX_PASSED {
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Endpoints with room for the bid, and whether only isolation stands in its way.
+    fn candidates(&self, bid: &Bid, now: Time) -> (Vec<Candidate<'_>>, bool) {
+        let mut isolated = false;
+        let mut candidates = Vec::with_capacity(self.slots.len());
+        for (endpoint, slot) in &self.slots {
+            if slot.leaving {
+                continue;
+            }
+            let cached = slot.cache.matched(&bid.prefixes);
+            let uncached = Tokens(bid.prompt.0.saturating_sub(cached.0));
+            if !slot.window.has_room(uncached, now) {
+                continue;
+            }
+            if bid.suspect && slot.suspects > 0 {
+                isolated = true;
+                continue;
+            }
+            let output = u32::try_from(bid.output.0).unwrap_or(u32::MAX);
+            let first = slot.window.expected_first(uncached, now);
+            let expected = first + slot.window.gap() * output;
+            candidates.push(Candidate {
+                endpoint,
+                expected,
+                cached,
+            });
+        }
+        (candidates, isolated)
+    }
+
+    fn issue(&mut self, bid: &Bid, choice: Choice, now: Time) -> Grant {
+        self.next_permit = self.next_permit.wrapping_add(1);
+        let permit = Permit(self.next_permit);
+        if let Some(slot) = self.slots.get_mut(&choice.endpoint) {
+            assert!(!slot.leaving, "a leaving endpoint was granted");
+            let uncached = Tokens(bid.prompt.0.saturating_sub(choice.cached.0));
+            slot.window.grant(permit, uncached, now);
+            slot.cache.insert(&bid.prefixes);
+            slot.suspects += u32::from(bid.suspect);
+        }
+        let used = Use::new(bid, &bid.holder, &choice.endpoint);
+        self.uses.insert(permit, used);
+        Grant {
+            request: bid.request,
+            holder: bid.holder.clone(),
+            permit,
+            endpoint: choice.endpoint,
+            reason: choice.reason,
+            runners_up: choice.runners_up,
+        }
+    }
+
+    fn close_bucket(&mut self, now: Time) {
+        self.pace.starved |= self.queue.is_empty();
+        let span = now.since(self.pace.bucket);
+        if span < PACE_BUCKET {
+            return;
+        }
+        let seen = self.pace.granted as f64 / span.as_secs_f64();
+        if !self.pace.starved {
+            let rate = self.pace.rate.unwrap_or(seen);
+            self.pace.rate = Some(rate + 0.3 * (seen - rate));
+        } else if self.pace.rate.is_some_and(|rate| seen > rate) {
+            self.pace.rate = Some(seen);
+        }
+        self.pace.bucket = now;
+        self.pace.granted = 0;
+        self.pace.starved = self.queue.is_empty();
+        self.queue.prune();
+    }
+
+    /// Notes a first token.
+    pub fn first_token(
+        &mut self,
+        permit: Permit,
+        took: Duration,
+        now: Time,
+    ) -> Option<(EndpointId, Change)> {
+        let endpoint = self.uses.get(&permit)?.endpoint.clone();
+        let slot = self.slots.get_mut(&endpoint)?;
+        slot.window.reachable();
+        let change = slot.window.first_token(permit, took, now)?;
+        Some((endpoint, change))
+    }
+
+    /// Takes back a permit.
+    pub fn ended(
+        &mut self,
+        permit: Permit,
+        outcome: Outcome,
+        now: Time,
+    ) -> Option<(EndpointId, Change)> {
+        let used = self.uses.remove(&permit)?;
+        let actual = match outcome {
+            Outcome::Whole { output, .. } => Work::of(used.prompt, output),
+            Outcome::Cancelled | Outcome::Cut => used.charged,
+            Outcome::Unreachable | Outcome::Declined | Outcome::Returned => Work(0),
+        };
+        self.queue.correct(&used.organisation, used.charged, actual);
+        let slot = self.slots.get_mut(&used.endpoint)?;
+        slot.window.release(permit);
+        slot.suspects = slot.suspects.saturating_sub(u32::from(used.suspect));
+        let change = match outcome {
+            Outcome::Whole { gap_us, .. } => {
+                slot.window.reachable();
+                slot.window.pace(gap_us, now)
+            }
+            Outcome::Unreachable | Outcome::Cut => {
+                slot.window.unreachable(now);
+                slot.cache.clear();
+                Some(Change::Cut)
+            }
+            Outcome::Declined => {
+                slot.leaving = true;
+                None
+            }
+            Outcome::Cancelled | Outcome::Returned => None,
+        };
+        Some((used.endpoint, change?))
+    }
+
+    /// Learns that a permit of this cell is still in use.
+    pub fn renew(&mut self, permit: Permit, now: Time) {
+        let Some(used) = self.uses.get(&permit) else {
+            return;
+        };
+        if let Some(slot) = self.slots.get_mut(&used.endpoint) {
+            slot.window.renew(permit, now);
+        }
+    }
+
+    /// Takes over a permit that a former owner granted to `holder`.
+    pub fn adopt(
+        &mut self,
+        holder: &InstanceId,
+        bid: &Bid,
+        permit: Permit,
+        endpoint: &EndpointId,
+        now: Time,
+    ) {
+        if self.uses.contains_key(&permit) {
+            self.renew(permit, now);
+            return;
+        }
+        let Some(slot) = self.slots.get_mut(endpoint) else {
+            return;
+        };
+        slot.window.adopt(permit, now);
+        slot.cache.insert(&bid.prefixes);
+        slot.suspects += u32::from(bid.suspect);
+        let used = Use::new(bid, holder, endpoint);
+        self.uses.insert(permit, used);
+    }
+
+    /// Corrects an endpoint's window by its load report.
+    pub fn report(&mut self, endpoint: &EndpointId, load: Load, now: Time) {
+        let fresh = now.since(self.taken) < TAKEOVER;
+        if let Some(slot) = self.slots.get_mut(endpoint) {
+            slot.window.report(load.running + load.waiting, fresh);
+        }
+    }
+
+    /// Drops the bids and permits of a gateway that died.
+    pub fn drop_holder(&mut self, holder: &InstanceId, now: Time) {
+        self.queue.reject(|bid| bid.holder != *holder);
+        let orphaned: Vec<Permit> = self
+            .uses
+            .iter()
+            .filter(|(_, used)| used.holder == *holder)
+            .map(|(p, _)| *p)
+            .collect();
+        for permit in orphaned {
+            self.ended(permit, Outcome::Cancelled, now);
+        }
+    }
+
+    /// Takes back permits without news.
+    pub fn reclaim(&mut self, now: Time) {
+        let idle: Vec<Permit> = self
+            .slots
+            .values()
+            .flat_map(|slot| slot.window.idle(now))
+            .collect();
+        for permit in idle {
+            self.ended(permit, Outcome::Cancelled, now);
+        }
+    }
+}
+
+struct Choice {
+    endpoint: EndpointId,
+    expected: Duration,
+    cached: Tokens,
+    reason: Reason,
+    runners_up: Box<[RunnerUp]>,
+}
+
+fn choose(candidates: &[Candidate<'_>]) -> Option<Choice> {
+    let mut ranked: Vec<&Candidate<'_>> = candidates.iter().collect();
+    ranked.sort_by_key(|candidate| candidate.expected);
+    let (best, rest) = ranked.split_first()?;
+    let reason = match rest.first() {
+        None => Reason::OnlyRoom,
+        Some(next) if best.cached > next.cached => Reason::CachedPrefix,
+        Some(_) => Reason::EarliestEnd,
+    };
+    let runners_up = rest
+        .iter()
+        .take(RUNNERS_UP)
+        .map(|c| RunnerUp {
+            endpoint: c.endpoint.clone(),
+            expected: c.expected,
+        })
+        .collect();
+    Some(Choice {
+        endpoint: best.endpoint.clone(),
+        expected: best.expected,
+        cached: best.cached,
+        reason,
+        runners_up,
+    })
+}
+
+fn shed(bid: &Bid, code: Code) -> Shed {
+    Shed {
+        request: bid.request,
+        holder: bid.holder.clone(),
+        code,
+    }
+}
--- /dev/null
+++ b/crates/sched/src/fair.rs
@@ -0,0 +1,240 @@
+//! Queue by tier, then fair turn, then deadline.
+//!
+//! Each organisation has one account of work done, in virtual time, shared by
+//! all tiers. Within the highest tier that has a request waiting, the
+//! organisation with the smallest account is served next, and its request with
+//! the earliest deadline. A grant charges the estimate; the end of the answer
+//! corrects it by what was really generated. An organisation that becomes
+//! active starts at the current virtual time: it cannot save up turns while
+//! idle, unused share is lent to the others, and it waits at most one round.
+//!
+//! Every operation is logarithmic in the number of organisations and requests.
+
+use crate::bid::Bid;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use units::{OrganisationId, Rank, RequestId, Time, Work};
+
+/// Tiers that a queue distinguishes.
+pub const TIERS: usize = 5;
+
+/// Order of requests within one organisation and tier.
+type Place = (Time, u64);
+
+/// Accumulated work of an organisation.
+type VirtualTime = u64;
+
+#[derive(Debug, Default)]
+struct Account {
+    served: VirtualTime,
+    waiting: usize,
+}
+
+#[derive(Debug, Default)]
+struct Tier {
+    turns: BTreeSet<(VirtualTime, OrganisationId)>,
+    requests: HashMap<OrganisationId, BTreeMap<Place, Bid>>,
+    work: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Position {
+    rank: usize,
+    organisation: OrganisationId,
+    place: Place,
+}
+
+/// Fair queue of bids.
+#[derive(Debug, Default)]
+pub struct Queue {
+    tiers: [Tier; TIERS],
+    accounts: HashMap<OrganisationId, Account>,
+    positions: HashMap<RequestId, Position>,
+    now: VirtualTime,
+    arrivals: u64,
+}
+
+impl Queue {
+    /// Empty queue.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Requests waiting.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.positions.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.positions.is_empty()
+    }
+
+    /// Whether the request waits here.
+    #[must_use]
+    pub fn contains(&self, request: RequestId) -> bool {
+        self.positions.contains_key(&request)
+    }
+
+    /// Estimated work waiting in all tiers.
+    #[must_use]
+    pub fn work(&self) -> Work {
+        Work(self.tiers.iter().map(|tier| tier.work).sum())
+    }
+
+    /// Lowest tier with a request waiting.
+    #[must_use]
+    pub fn lowest(&self) -> Option<Rank> {
+        let index = self
+            .tiers
+            .iter()
+            .rposition(|tier| !tier.requests.is_empty())?;
+        u8::try_from(index).ok().map(Rank)
+    }
+
+    /// Adds a bid; a bid for a request that waits already is ignored.
+    pub fn push(&mut self, bid: Bid) {
+        if self.positions.contains_key(&bid.request) {
+            return;
+        }
+        let rank = usize::from(bid.rank.0).min(TIERS - 1);
+        let organisation = bid.organisation.clone();
+        self.activate(&organisation);
+        let served = self.accounts[&organisation].served;
+        self.arrivals += 1;
+        let place = (bid.deadline, self.arrivals);
+        let position = Position {
+            rank,
+            organisation: organisation.clone(),
+            place,
+        };
+        self.positions.insert(bid.request, position);
+        let tier = &mut self.tiers[rank];
+        tier.work += bid.work().0;
+        tier.turns.insert((served, organisation.clone()));
+        tier.requests
+            .entry(organisation)
+            .or_default()
+            .insert(place, bid);
+    }
+
+    fn activate(&mut self, organisation: &OrganisationId) {
+        let now = self.now;
+        let account = self.accounts.entry(organisation.clone()).or_default();
+        if account.waiting == 0 {
+            account.served = account.served.max(now);
+        }
+        account.waiting += 1;
+    }
+
+    /// Bids in the order of service, the first of each organisation and tier.
+    pub fn heads(&self) -> impl Iterator<Item = &Bid> {
+        self.tiers.iter().flat_map(|tier| {
+            tier.turns.iter().filter_map(|(_, organisation)| {
+                let requests = tier.requests.get(organisation)?;
+                requests.values().next()
+            })
+        })
+    }
+
+    /// Takes a bid out and charges its organisation for it.
+    pub fn serve(&mut self, request: RequestId) -> Option<Bid> {
+        let bid = self.remove(request)?;
+        let served = self
+            .accounts
+            .get(&bid.organisation)
+            .map_or(self.now, |a| a.served);
+        self.now = self.now.max(served);
+        self.charge(&bid.organisation, bid.work().0, 0);
+        Some(bid)
+    }
+
+    /// Takes a bid out without a charge.
+    pub fn remove(&mut self, request: RequestId) -> Option<Bid> {
+        let position = self.positions.remove(&request)?;
+        let account = self.accounts.get_mut(&position.organisation)?;
+        account.waiting -= 1;
+        let served = account.served;
+        let tier = &mut self.tiers[position.rank];
+        let requests = tier.requests.get_mut(&position.organisation)?;
+        let bid = requests.remove(&position.place)?;
+        if requests.is_empty() {
+            tier.requests.remove(&position.organisation);
+            tier.turns.remove(&(served, position.organisation));
+        }
+        tier.work -= bid.work().0;
+        Some(bid)
+    }
+
+    /// Corrects an estimate that was charged by the work that was done.
+    pub fn correct(&mut self, organisation: &OrganisationId, estimated: Work, actual: Work) {
+        self.charge(organisation, actual.0, estimated.0);
+    }
+
+    fn charge(&mut self, organisation: &OrganisationId, plus: u64, minus: u64) {
+        let floor = self.now;
+        let account = self.accounts.entry(organisation.clone()).or_default();
+        let before = account.served;
+        let after = (before + plus).saturating_sub(minus);
+        account.served = if account.waiting == 0 {
+            after.max(floor)
+        } else {
+            after
+        };
+        let after = account.served;
+        for tier in &mut self.tiers {
+            if tier.turns.remove(&(before, organisation.clone())) {
+                tier.turns.insert((after, organisation.clone()));
+            }
+        }
+    }
+
+    /// Bid that is shed first: lowest tier, its largest backlog, the latest deadline.
+    #[must_use]
+    pub fn victim(&self) -> Option<&Bid> {
+        let tier = &self.tiers[usize::from(self.lowest()?.0)];
+        let backlog = tier
+            .requests
+            .iter()
+            .max_by_key(|(id, requests)| (requests.len(), *id))?;
+        backlog.1.values().next_back()
+    }
+
+    /// Requests whose deadline is at or before `now`.
+    #[must_use]
+    pub fn expired(&self, now: Time) -> Vec<RequestId> {
+        let queues = self.tiers.iter().flat_map(|tier| tier.requests.values());
+        queues
+            .flat_map(|requests| requests.range(..=(now, u64::MAX)))
+            .map(|(_, bid)| bid.request)
+            .collect()
+    }
+
+    /// Requests that `keep` rejects.
+    pub fn reject(&mut self, keep: impl Fn(&Bid) -> bool) -> Vec<Bid> {
+        let queues = self.tiers.iter().flat_map(|tier| tier.requests.values());
+        let gone: Vec<RequestId> = queues
+            .flat_map(BTreeMap::values)
+            .filter(|b| !keep(b))
+            .map(|b| b.request)
+            .collect();
+        gone.into_iter()
+            .filter_map(|request| self.remove(request))
+            .collect()
+    }
+
+    /// Drops accounts of organisations that have nothing waiting and no debt.
+    pub fn prune(&mut self) {
+        let now = self.now;
+        self.accounts
+            .retain(|_, account| account.waiting > 0 || account.served > now);
+    }
+
+    /// Accounts kept, for capacity figures.
+    #[must_use]
+    pub fn accounts(&self) -> usize {
+        self.accounts.len()
+    }
+}
--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,84 @@
+//! HTTP calls to the platform.
+
+use anyhow::{Context, Result};
+use ntex::{
+    SharedCfg,
+    client::{Client, Connector},
+    http::{Method, StatusCode},
+    time::{Millis, Seconds},
+    util::Bytes,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Time after which an unused connection is closed.
+const KEEP_ALIVE: Seconds = Seconds(15);
+
+/// Answer of the platform.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Connection to one service of the platform.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    base: Box<str>,
+    timeout: Duration,
+}
+
+impl std::fmt::Debug for Caller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Caller")
+            .field("base", &self.base)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Caller {
+    /// Caller of the service at `address`.
+    ///
+    /// # Errors
+    /// The client cannot be built.
+    pub async fn new(address: SocketAddr, timeout: Duration) -> Result<Self> {
+        let client = Client::builder()
+            .connector::<()>(Connector::new().keep_alive(KEEP_ALIVE))
+            .response_payload_limit(MAX_ANSWER_BYTES)
+            .disable_timeout()
+            .build(SharedCfg::default())
+            .await
+            .context("building the HTTP client")?;
+        Ok(Self {
+            client,
+            base: format!("http://{address}").into(),
+            timeout,
+        })
+    }
+
+    /// Sends one request and reads the whole answer.
+    ///
+    /// # Errors
+    /// No whole answer within the timeout; the request may have taken effect.
+    pub async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Answer> {
+        let timeout = Millis(u32::try_from(self.timeout.as_millis()).unwrap_or(u32::MAX));
+        let exchange = async {
+            let request = self.client.request(method, format!("{}{path}", self.base));
+            let response = request
+                .send_body(body)
+                .await
+                .map_err(|e| anyhow::anyhow!("{e}"))?;
+            let status = response.status();
+            let body = response.body().limit(MAX_ANSWER_BYTES).await;
+            let body = body.map_err(|e| anyhow::anyhow!("{e}"))?;
+            Ok(Answer { status, body })
+        };
+        ntex::time::timeout(timeout, exchange)
+            .await
+            .map_err(|()| anyhow::anyhow!("no answer from {} within {timeout:?}", self.base))?
+    }
+}
--- /dev/null
+++ b/crates/store/src/table.rs
@@ -0,0 +1,163 @@
+//! Transactional table.
+
+use crate::http::Caller;
+use anyhow::Result;
+use ntex::http::Method;
+use serde::{Deserialize, Serialize};
+
+/// Row with the version that each write raises.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Key.
+    pub key: Box<str>,
+    /// Version, from 1.
+    pub version: u64,
+    /// Value.
+    pub value: Box<str>,
+}
+
+/// Condition on a row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condition {
+    /// Key.
+    pub key: Box<str>,
+    /// Version that the row must have; the row must be absent when this is.
+    pub version: Option<u64>,
+}
+
+/// Write of a row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// Key.
+    pub key: Box<str>,
+    /// New value; the row is deleted when absent.
+    pub value: Option<Box<str>>,
+}
+
+/// Writes that take effect together if every condition holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transaction {
+    /// Conditions.
+    pub conditions: Vec<Condition>,
+    /// Writes.
+    pub writes: Vec<Write>,
+}
+
+impl Transaction {
+    /// Empty transaction.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Writes `value` if the row still has `version`, or is absent when that is `None`.
+    #[must_use]
+    pub fn with_put(mut self, key: &str, version: Option<u64>, value: &str) -> Self {
+        self.conditions.push(Condition {
+            key: key.into(),
+            version,
+        });
+        self.writes.push(Write {
+            key: key.into(),
+            value: Some(value.into()),
+        });
+        self
+    }
+
+    /// Deletes the row if it still has `version`.
+    #[must_use]
+    pub fn with_delete(mut self, key: &str, version: u64) -> Self {
+        self.conditions.push(Condition {
+            key: key.into(),
+            version: Some(version),
+        });
+        self.writes.push(Write {
+            key: key.into(),
+            value: None,
+        });
+        self
+    }
+}
+
+/// Outcome of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Commit {
+    /// Every write took effect.
+    Done,
+    /// Nothing took effect; the rows of the conditions as they are.
+    Conflict(Box<[Row]>),
+    /// No whole answer: the writes may or may not have taken effect.
+    Lost,
+}
+
+/// Body of the table's answers.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rows {
+    /// Rows that exist.
+    pub rows: Vec<Row>,
+}
+
+/// Keys to read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Keys {
+    /// Keys.
+    pub keys: Vec<Box<str>>,
+}
+
+/// Client of the table.
+#[derive(Debug, Clone)]
+pub struct Table {
+    caller: Caller,
+}
+
+impl Table {
+    /// Table behind `caller`.
+    #[must_use]
+    pub const fn new(caller: Caller) -> Self {
+        Self { caller }
+    }
+
+    /// Runs a transaction. Whatever is not a clear answer counts as [`Commit::Lost`].
+    pub async fn transact(&self, transaction: &Transaction) -> Commit {
+        let Ok(body) = serde_json::to_vec(transaction) else {
+            return Commit::Lost;
+        };
+        match self
+            .caller
+            .call(Method::POST, "/table/transact", body)
+            .await
+        {
+            Ok(answer) if answer.status.is_success() => Commit::Done,
+            Ok(answer) if answer.status.as_u16() == 409 => {
+                match serde_json::from_slice::<Rows>(&answer.body) {
+                    Ok(rows) => Commit::Conflict(rows.rows.into()),
+                    Err(_) => Commit::Lost,
+                }
+            }
+            _ => Commit::Lost,
+        }
+    }
+
+    /// Reads rows; keys without a row are left out.
+    ///
+    /// # Errors
+    /// The table does not answer.
+    pub async fn read(&self, keys: Vec<Box<str>>) -> Result<Vec<Row>> {
+        let body = serde_json::to_vec(&Keys { keys })?;
+        let answer = self.caller.call(Method::POST, "/table/read", body).await?;
+        anyhow::ensure!(
+            answer.status.is_success(),
+            "table answered {}",
+            answer.status
+        );
+        Ok(serde_json::from_slice::<Rows>(&answer.body)?.rows)
+    }
+
+    /// Reads one row.
+    ///
+    /// # Errors
+    /// The table does not answer.
+    pub async fn get(&self, key: &str) -> Result<Option<Row>> {
+        Ok(self.read(vec![key.into()]).await?.into_iter().next())
+    }
+}
--- /dev/null
+++ b/crates/units/src/id.rs
@@ -0,0 +1,109 @@
+//! Text and random identifiers.
+
+use crate::macros::text_id;
+use rand::Rng;
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use std::{fmt, str::FromStr};
+
+/// Longest text identifier, in bytes.
+const MAX_ID_BYTES: usize = 64;
+
+/// Reason why a text is not an identifier.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ParseError {
+    /// Text is empty or longer than 64 bytes.
+    #[error("an identifier has 1 to {MAX_ID_BYTES} characters, this one has {0}")]
+    Length(usize),
+    /// Character outside the allowed set.
+    #[error("character {0:?} is not allowed; allowed: letters, digits, '-', '_', '.', ':'")]
+    Character(char),
+    /// Text is not a hexadecimal number of the expected width.
+    #[error("expected {0} hexadecimal digits")]
+    Hex(usize),
+}
+
+fn check_text(text: &str) -> Result<(), ParseError> {
+    if text.is_empty() || text.len() > MAX_ID_BYTES {
+        return Err(ParseError::Length(text.len()));
+    }
+    match text.chars().find(|c| !is_id_char(*c)) {
+        Some(c) => Err(ParseError::Character(c)),
+        None => Ok(()),
+    }
+}
+
+fn is_id_char(c: char) -> bool {
+    c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':')
+}
+
+text_id! {
+    /// One running gateway process of ours.
+    InstanceId;
+    /// Availability zone.
+    ZoneId;
+    /// Region, a group of availability zones.
+    RegionId;
+    /// Member of the guild that offers requests.
+    OrganisationId;
+    /// Back end that executes requests.
+    EndpointId;
+    /// Service that requests name.
+    ServiceId;
+    /// Tier of requests, as a service file names it.
+    TierId;
+    /// Caller's key that makes a repeated call recognisable.
+    IdempotencyKey;
+}
+
+macro_rules! random_id {
+    ($($(#[$meta:meta])* $name:ident;)*) => {
+        $(
+            $(#[$meta])*
+            #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+            #[derive(SerializeDisplay, DeserializeFromStr)]
+            pub struct $name(u128);
+
+            impl $name {
+                /// Identifier from its number.
+                #[must_use]
+                pub const fn new(value: u128) -> Self {
+                    Self(value)
+                }
+
+                /// Fresh identifier.
+                pub fn random(rng: &mut impl Rng) -> Self {
+                    Self(rng.random())
+                }
+
+                /// Number of the identifier.
+                #[must_use]
+                pub const fn get(self) -> u128 {
+                    self.0
+                }
+            }
+
+            impl fmt::Display for $name {
+                fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                    write!(f, "{:032x}", self.0)
+                }
+            }
+
+            impl FromStr for $name {
+                type Err = ParseError;
+
+                fn from_str(text: &str) -> Result<Self, ParseError> {
+                    u128::from_str_radix(text, 16)
+                        .map(Self)
+                        .map_err(|_| ParseError::Hex(32))
+                }
+            }
+        )*
+    };
+}
+
+random_id! {
+    /// One accepted request.
+    RequestId;
+    /// One attempt at a conditional write, so that a lost answer can be read back.
+    AttemptToken;
+}
--- /dev/null
+++ b/crates/units/src/time.rs
@@ -0,0 +1,90 @@
+//! Monotonic time as an argument.
+
+use crate::common;
+use std::{
+    fmt,
+    ops::{Add, Sub},
+    time::{Duration, Instant},
+};
+
+common! {
+    /// Monotonic reading in microseconds since its process started.
+    #[derive(Copy, Default)]
+    #[serde(transparent)]
+    pub struct Time(pub u64);
+}
+
+impl Time {
+    /// Start of the process.
+    pub const ZERO: Self = Self(0);
+
+    /// Reading at `ms` milliseconds.
+    #[must_use]
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms * 1000)
+    }
+
+    /// Whole milliseconds since the start.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1000
+    }
+
+    /// Time passed since `earlier`, zero when `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.as_millis())
+    }
+}
+
+/// Source of [`Time`] readings.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Clock that reads zero now.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Current reading.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.start.elapsed()
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,29 @@
+//! Connections to the platform's services.
+
+use crate::output::Failure;
+use codes::Code;
+use std::{net::SocketAddr, time::Duration};
+use store::{Directory, Objects, Table, http::Caller};
+
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+async fn caller(address: SocketAddr) -> Result<Caller, Failure> {
+    let caller = Caller::new(address, TIMEOUT).await;
+    caller.map_err(|e| Failure::new(Code::StoreUnavailable, format!("{e:#}")))
+}
+
+/// Table at `address`.
+pub async fn table(address: SocketAddr) -> Result<Table, Failure> {
+    Ok(Table::new(caller(address).await?))
+}
+
+/// Object store at `address`.
+pub async fn objects(address: SocketAddr) -> Result<Objects, Failure> {
+    Ok(Objects::new(caller(address).await?))
+}
+
+/// Directory at `address`.
+pub async fn directory(address: SocketAddr) -> Result<Directory, Failure> {
+    Ok(Directory::new(caller(address).await?))
+}
