--- a/crates/sched/src/window.rs
+++ b/crates/sched/src/window.rs
@@ -5,8 +5,10 @@
 //! * requests in flight, grown while the window is used and first tokens
 //!   arrive as predicted, cut when they arrive late or tokens come slowly;
 //! * prompt tokens sent and not yet answered by a first token;
-//! * nothing more once a first token is overdue: a straggler loses its window
-//!   within a few times its usual latency, whatever its load report says.
+//! * nothing more once a first token is overdue, or the tokens of running
+//!   answers come several times slower than usual: a straggler loses its window
+//!   within moments, whatever its load report says. While it is slow it is
+//!   tried with one request at a time.
 //!
 //! Predictions are `base + cost × prompt tokens ahead`, both learned slowly;
 //! `inflation` follows the ratio of seen to predicted quickly and decays to 1,
@@ -16,7 +18,17 @@
 use units::{Permit, Time, Tokens};
 
 /// Requests in flight that a new endpoint is given.
-const INITIAL_LIMIT: f64 = 8.0;
+const INITIAL_LIMIT: f64 = 4.0;
+/// Time between tokens that a new endpoint is credited with, short so that it is tried.
+const UNKNOWN_GAP_US: f64 = 8_000.0;
+/// Time to a first token, without its prompt, that a new endpoint is credited with, in seconds.
+const UNKNOWN_BASE_S: f64 = 0.010;
+/// First tokens after which the usual latency is taken for known.
+const SETTLED_SAMPLES: u32 = 8;
+/// Time for a prompt token that a new endpoint is credited with, in seconds.
+const UNKNOWN_COST_S: f64 = 0.000_06;
+/// Growth of an answer's expected length in time from an empty to a full window.
+const CROWDING: f64 = 1.0;
 /// Most requests in flight.
 const MAX_LIMIT: f64 = 256.0;
 /// Prompt tokens awaiting a first token, in seconds of predicted prefill.
@@ -29,14 +41,22 @@
 const CUT_INFLATION: f64 = 2.0;
 /// Inflation below which the window may grow.
 const GROW_INFLATION: f64 = 1.5;
+/// Highest inflation that is remembered.
+const MAX_INFLATION: f64 = 20.0;
 /// Lateness that is never taken for a sign of queueing.
 const LATE_SLACK: Duration = Duration::from_millis(60);
 /// Least time between two cuts.
 const CUT_INTERVAL: Duration = Duration::from_millis(250);
 /// Target time between tokens.
 const GAP_TARGET_US: f64 = 25_000.0;
+/// Growth of the time between tokens, over the shortest seen, that a fuller batch may cost.
+const GAP_GROWTH: f64 = 2.0;
 /// Time in which inflation decays by half.
 const INFLATION_HALF_LIFE_S: f64 = 1.0;
+/// Slowness of running answers at which nothing more is sent.
+const SLOW_PACE: f64 = 3.0;
+/// Time for which a report of slow answers counts.
+const SLOW_HOLD: Duration = Duration::from_millis(300);
 /// First back-off after an unreachable endpoint, doubled each time.
 const DOWN_MIN: Duration = Duration::from_millis(200);
 /// Longest back-off after an unreachable endpoint.
@@ -51,6 +71,7 @@
     ahead: f64,
     tokens: f64,
     predicted: Duration,
+    alone: bool,
     started: bool,
 }
 
@@ -72,6 +93,7 @@
     down_until: Time,
     down_for: Duration,
     external: u32,
+    slow_until: Time,
 }
 
 /// Change that is worth a log line.
@@ -90,25 +112,23 @@
             threshold: MAX_LIMIT,
             flights: BTreeMap::new(),
             pending_tokens: 0.0,
-            base_s: 0.010,
-            cost_s: 0.000_1,
+            base_s: UNKNOWN_BASE_S,
+            cost_s: UNKNOWN_COST_S,
             samples: 0,
             inflation: 1.0,
             inflation_at: Time::ZERO,
-            gap_us: 15_000.0,
+            gap_us: UNKNOWN_GAP_US,
             best_gap_us: f64::MAX,
             last_cut: Time::ZERO,
             down_until: Time::ZERO,
             down_for: DOWN_MIN,
             external: 0,
+            slow_until: Time::ZERO,
         }
     }
 }
 
-#[allow(
-    clippy::cast_precision_loss,
-    reason = "token counts are far below 2^52"
-)]
+#[allow(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
 fn tokens_f(tokens: Tokens) -> f64 {
     tokens.0 as f64
 }
@@ -141,7 +161,11 @@
     /// Whether one more request may be sent.
     #[must_use]
     pub fn has_room(&self, prompt: Tokens, now: Time) -> bool {
-        if now < self.down_until || self.is_overdue(now) {
+        if now < self.down_until || now < self.slow_until || self.is_overdue(now) {
+            return false;
+        }
+        let doubtful = self.inflation_at(now) > CUT_INFLATION;
+        if doubtful && self.flights.values().any(|flight| !flight.started) {
             return false;
         }
         let used = self.flights.len() + usize::try_from(self.external).unwrap_or(0);
@@ -160,6 +184,13 @@
         })
     }
 
+    /// Factor by which answers take longer beside the requests in flight.
+    #[must_use]
+    pub fn crowding(&self) -> f64 {
+        let used = self.flights.len() as f64;
+        1.0 + CROWDING * used / self.limit.max(1.0)
+    }
+
     /// Expected time to the first token of a prompt with `uncached` tokens.
     #[must_use]
     pub fn expected_first(&self, uncached: Tokens, now: Time) -> Duration {
@@ -181,14 +212,9 @@
         let tokens = tokens_f(uncached);
         let ahead = self.pending_tokens + tokens;
         let predicted = self.predict(ahead);
-        let flight = Flight {
-            granted: now,
-            renewed: now,
-            ahead,
-            tokens,
-            predicted,
-            started: false,
-        };
+        let alone = self.flights.is_empty() && self.external == 0;
+        let flight =
+            Flight { granted: now, renewed: now, ahead, tokens, predicted, alone, started: false };
         self.pending_tokens += tokens;
         self.flights.insert(permit, flight);
     }
@@ -202,6 +228,7 @@
             ahead: 0.0,
             tokens: 0.0,
             predicted,
+            alone: false,
             started: true,
         };
         self.flights.entry(permit).or_insert(flight).renewed = now;
@@ -222,12 +249,8 @@
         let ratio = took.as_secs_f64() / flight.predicted.as_secs_f64().max(0.001);
         let late = ratio > CUT_INFLATION && took > flight.predicted + LATE_SLACK;
         self.learn(flight, took, late);
-        let ratio = if late {
-            ratio
-        } else {
-            ratio.min(CUT_INFLATION)
-        };
-        self.inflation = 0.5 * self.inflation_at(now) + 0.5 * ratio.clamp(0.5, 20.0);
+        let ratio = if late { ratio } else { ratio.min(CUT_INFLATION) };
+        self.inflation = 0.5 * self.inflation_at(now) + 0.5 * ratio.clamp(0.5, MAX_INFLATION);
         self.inflation_at = now;
         if late {
             return self.cut(0.7, now);
@@ -238,17 +261,21 @@
         (was_late && self.inflation < GROW_INFLATION).then_some(Change::Restored)
     }
 
-    /// Learns the usual latency; late answers teach little once it is known.
+    /// Learns the usual latency. Once it is known, late answers teach only when they were alone.
     fn learn(&mut self, flight: Flight, took: Duration, late: bool) {
-        const SETTLED: u32 = 8;
-        if late && self.samples >= SETTLED {
+        let settled = self.samples >= SETTLED_SAMPLES;
+        if settled && late && !flight.alone {
             return;
         }
         self.samples = self.samples.saturating_add(1);
-        let weight = if self.samples < SETTLED { 0.4 } else { 0.08 };
+        let weight = match (settled, flight.alone) {
+            (false, _) => 0.4,
+            (true, true) => 0.2,
+            (true, false) => 0.08,
+        };
         let seen = took.as_secs_f64();
         if flight.ahead < 64.0 {
-            self.base_s += weight * (seen - self.base_s).max(-self.base_s / 2.0);
+            self.base_s += weight * (seen - self.base_s);
         } else {
             let cost = ((seen - self.base_s) / flight.ahead).max(1e-6);
             self.cost_s += weight * (cost - self.cost_s);
@@ -279,6 +306,14 @@
         Some(Change::Cut)
     }
 
+    /// Notes that a request is granted again since its grant was lost; only now it can be awaited.
+    pub fn regrant(&mut self, permit: Permit, now: Time) {
+        if let Some(flight) = self.flights.get_mut(&permit) {
+            flight.granted = now;
+            flight.renewed = now;
+        }
+    }
+
     /// Notes that a request is still running.
     pub fn renew(&mut self, permit: Permit, now: Time) {
         if let Some(flight) = self.flights.get_mut(&permit) {
@@ -303,14 +338,24 @@
             return None;
         }
         let gap = f64::from(gap_us);
-        self.gap_us += 0.2 * (gap - self.gap_us);
+        let weight = if self.best_gap_us == f64::MAX { 1.0 } else { 0.2 };
+        self.gap_us += weight * (gap - self.gap_us);
         self.best_gap_us = self.best_gap_us.min(gap);
-        let allowed = GAP_TARGET_US.max(1.4 * self.best_gap_us);
-        if self.gap_us > allowed {
-            self.cut(0.9, now)
-        } else {
-            None
+        let allowed = GAP_TARGET_US.max(GAP_GROWTH * self.best_gap_us);
+        if self.gap_us > allowed { self.cut(0.9, now) } else { None }
+    }
+
+    /// Notes that running answers are `ratio` times slower than usual.
+    pub fn slowed(&mut self, ratio: f64, now: Time) -> Option<Change> {
+        // Reading a long prompt slows the answers beside it; the overdue check covers that time.
+        if ratio < SLOW_PACE || self.pending_tokens > 0.0 {
+            return None;
         }
+        let was_slow = now < self.slow_until;
+        self.slow_until = now + SLOW_HOLD;
+        self.inflation = self.inflation_at(now).max(ratio.min(MAX_INFLATION));
+        self.inflation_at = now;
+        (!was_slow).then_some(Change::Cut)
     }
 
     /// Takes an unreachable endpoint out of service for a while.
@@ -329,27 +374,17 @@
     /// Corrects the count of requests by a load report, for owners that are new to the endpoint.
     pub fn report(&mut self, running: u32, fresh_owner: bool) {
         let own = u32::try_from(self.flights.len()).unwrap_or(u32::MAX);
-        self.external = if fresh_owner {
-            running.saturating_sub(own)
-        } else {
-            0
-        };
+        self.external = if fresh_owner { running.saturating_sub(own) } else { 0 };
     }
 
     /// Permits without news for too long.
     #[must_use]
     pub fn idle(&self, now: Time) -> Vec<Permit> {
         let idle = |flight: &Flight| now.since(flight.renewed) > PERMIT_IDLE;
-        self.flights
-            .iter()
-            .filter(|(_, flight)| idle(flight))
-            .map(|(permit, _)| *permit)
-            .collect()
+        self.flights.iter().filter(|(_, flight)| idle(flight)).map(|(permit, _)| *permit).collect()
     }
 }
 
 fn overdue_after(predicted: Duration) -> Duration {
-    predicted
-        .mul_f64(OVERDUE_FACTOR)
-        .max(predicted + OVERDUE_SLACK)
+    predicted.mul_f64(OVERDUE_FACTOR).max(predicted + OVERDUE_SLACK)
 }
--- a/crates/store/src/claim.rs
+++ b/crates/store/src/claim.rs
@@ -112,10 +112,7 @@
             }
         }
     }
-    verdicts
-        .into_iter()
-        .map(|verdict| verdict.unwrap_or(Verdict::Unavailable))
-        .collect()
+    verdicts.into_iter().map(|verdict| verdict.unwrap_or(Verdict::Unavailable)).collect()
 }
 
 /// Attempts without a verdict; of several for one row only the first.
@@ -157,20 +154,13 @@
             continue;
         };
         let own = found.token == attempt.claim.token;
-        verdicts[*index] = Some(if own {
-            Verdict::Own
-        } else {
-            Verdict::Other(found)
-        });
+        verdicts[*index] = Some(if own { Verdict::Own } else { Verdict::Other(found) });
     }
 }
 
 /// Records the outcome of a claim of one's own; false when the table did not confirm.
 pub async fn finish(table: &Table, key: &Key, claim: &Claim, answer: Answer) -> bool {
-    let finished = Claim {
-        answer: Some(answer),
-        ..claim.clone()
-    };
+    let finished = Claim { answer: Some(answer), ..claim.clone() };
     let Ok(value) = serde_json::to_string(&finished) else {
         return false;
     };
@@ -182,10 +172,7 @@
 
 /// Deletes a claim of one's own whose request was never sent; false when not confirmed.
 pub async fn release(table: &Table, key: &Key, token: AttemptToken) -> bool {
-    change_own(table, key, token, |row| {
-        Transaction::new().with_delete(&row.key, row.version)
-    })
-    .await
+    change_own(table, key, token, |row| Transaction::new().with_delete(&row.key, row.version)).await
 }
 
 async fn change_own(
--- a/crates/store/src/directory.rs
+++ b/crates/store/src/directory.rs
@@ -66,15 +66,8 @@
     /// # Errors
     /// The directory does not answer.
     pub async fn list(&self) -> Result<List> {
-        let answer = self
-            .caller
-            .call(Method::GET, "/directory", Vec::new())
-            .await?;
-        ensure!(
-            answer.status.is_success(),
-            "directory answered {}",
-            answer.status
-        );
+        let answer = self.caller.call(Method::GET, "/directory", Vec::new()).await?;
+        ensure!(answer.status.is_success(), "directory answered {}", answer.status);
         Ok(serde_json::from_slice(&answer.body)?)
     }
 
@@ -85,11 +78,7 @@
     pub async fn register(&self, listing: &Listing) -> Result<()> {
         let body = serde_json::to_vec(listing)?;
         let answer = self.caller.call(Method::POST, "/directory", body).await?;
-        ensure!(
-            answer.status.is_success(),
-            "directory answered {}",
-            answer.status
-        );
+        ensure!(answer.status.is_success(), "directory answered {}", answer.status);
         Ok(())
     }
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -34,9 +34,7 @@
 
 impl std::fmt::Debug for Caller {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Caller")
-            .field("base", &self.base)
-            .finish_non_exhaustive()
+        f.debug_struct("Caller").field("base", &self.base).finish_non_exhaustive()
     }
 }
 
@@ -53,11 +51,7 @@
             .build(SharedCfg::default())
             .await
             .context("building the HTTP client")?;
-        Ok(Self {
-            client,
-            base: format!("http://{address}").into(),
-            timeout,
-        })
+        Ok(Self { client, base: format!("http://{address}").into(), timeout })
     }
 
     /// Sends one request and reads the whole answer.
@@ -68,10 +62,7 @@
         let timeout = Millis(u32::try_from(self.timeout.as_millis()).unwrap_or(u32::MAX));
         let exchange = async {
             let request = self.client.request(method, format!("{}{path}", self.base));
-            let response = request
-                .send_body(body)
-                .await
-                .map_err(|e| anyhow::anyhow!("{e}"))?;
+            let response = request.send_body(body).await.map_err(|e| anyhow::anyhow!("{e}"))?;
             let status = response.status();
             let body = response.body().limit(MAX_ANSWER_BYTES).await;
             let body = body.map_err(|e| anyhow::anyhow!("{e}"))?;
--- a/crates/store/src/lease.rs
+++ b/crates/store/src/lease.rs
@@ -47,12 +47,7 @@
     /// View of the lease in row `key`.
     #[must_use]
     pub fn new(me: InstanceId, key: &str) -> Self {
-        Self {
-            me,
-            key: key.into(),
-            seen: None,
-            confirmed: None,
-        }
+        Self { me, key: key.into(), seen: None, confirmed: None }
     }
 
     /// Fencing number while orders may be given.
@@ -64,13 +59,12 @@
 
     /// Renews, takes over or observes; `now` reads the clock.
     pub async fn step(&mut self, table: &Table, now: impl Fn() -> Time) {
-        // The reading is taken before the call: a renewal counts from its start.
         let started = now();
         let Ok(row) = table.get(&self.key).await else {
             return;
         };
         let found = row.as_ref().and_then(decode);
-        let Some(next) = self.next(found.as_ref(), started) else {
+        let Some(next) = self.next(found.as_ref(), started, now()) else {
             return;
         };
         let Ok(value) = serde_json::to_string(&next) else {
@@ -79,39 +73,35 @@
         let version = row.map(|row| row.version);
         let transaction = Transaction::new().with_put(&self.key, version, &value);
         if table.transact(&transaction).await == Commit::Done {
-            self.confirmed = Some((next, started));
+            self.confirm(next, started);
         }
     }
 
-    /// Row to write, if any, after the row `found` was read at `now`.
-    pub fn next(&mut self, found: Option<&Lease>, now: Time) -> Option<Lease> {
+    /// Notes that the row was written; the renewal counts from `started`, before the row was read.
+    pub fn confirm(&mut self, lease: Lease, started: Time) {
+        self.confirmed = Some((lease, started));
+    }
+
+    /// Row to write, if any, after a read that began at `started` and ended at `ended` found this.
+    ///
+    /// A lease that others hold is watched from the end of the read that first showed it, and has
+    /// expired only when a read that began long enough after that shows it unchanged. Either way
+    /// the uncertain time counts for the holder.
+    pub fn next(&mut self, found: Option<&Lease>, started: Time, ended: Time) -> Option<Lease> {
         let Some(lease) = found else {
-            return Some(Lease {
-                holder: self.me.clone(),
-                fence: 1,
-                beat: 1,
-            });
+            return Some(Lease { holder: self.me.clone(), fence: 1, beat: 1 });
         };
-        let own = self
-            .confirmed
-            .as_ref()
-            .is_some_and(|(c, _)| c.fence == lease.fence);
+        let own = self.confirmed.as_ref().is_some_and(|(c, _)| c.fence == lease.fence);
         if own && lease.holder == self.me {
-            return Some(Lease {
-                beat: lease.beat + 1,
-                ..lease.clone()
-            });
+            return Some(Lease { beat: lease.beat + 1, ..lease.clone() });
         }
         self.confirmed = None;
         let same = self.seen.as_ref().filter(|seen| seen.lease == *lease);
         let Some(seen) = same else {
-            self.seen = Some(Seen {
-                lease: lease.clone(),
-                since: now,
-            });
+            self.seen = Some(Seen { lease: lease.clone(), since: ended });
             return None;
         };
-        let expired = now.since(seen.since) > LENGTH;
+        let expired = started.since(seen.since) > LENGTH;
         expired.then(|| Lease {
             holder: self.me.clone(),
             fence: lease.fence + 1,
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -22,15 +22,8 @@
     /// # Errors
     /// The store does not confirm.
     pub async fn put(&self, name: &str, bytes: Vec<u8>) -> Result<()> {
-        let answer = self
-            .caller
-            .call(Method::PUT, &format!("/objects/{name}"), bytes)
-            .await?;
-        ensure!(
-            answer.status.is_success(),
-            "object store answered {}",
-            answer.status
-        );
+        let answer = self.caller.call(Method::PUT, &format!("/objects/{name}"), bytes).await?;
+        ensure!(answer.status.is_success(), "object store answered {}", answer.status);
         Ok(())
     }
 
@@ -39,15 +32,8 @@
     /// # Errors
     /// The store does not answer, or has no such object.
     pub async fn get(&self, name: &str) -> Result<Vec<u8>> {
-        let answer = self
-            .caller
-            .call(Method::GET, &format!("/objects/{name}"), Vec::new())
-            .await?;
-        ensure!(
-            answer.status.is_success(),
-            "object store answered {}",
-            answer.status
-        );
+        let answer = self.caller.call(Method::GET, &format!("/objects/{name}"), Vec::new()).await?;
+        ensure!(answer.status.is_success(), "object store answered {}", answer.status);
         Ok(answer.body.to_vec())
     }
 }
--- a/crates/store/src/publish.rs
+++ b/crates/store/src/publish.rs
@@ -87,16 +87,8 @@
     let publication = Publication::new(version, author, files).map_err(Fault::Unavailable)?;
     let bytes = publication.encode().map_err(Fault::Unavailable)?;
     let digest = Digest::of(&bytes);
-    objects
-        .put(&digest.to_string(), bytes.clone())
-        .await
-        .map_err(Fault::Unavailable)?;
-    let head = Head {
-        version,
-        digest,
-        author: author.into(),
-        token,
-    };
+    objects.put(&digest.to_string(), bytes.clone()).await.map_err(Fault::Unavailable)?;
+    let head = Head { version, digest, author: author.into(), token };
     commit(table, before.map(|(_, row)| row), &head).await?;
     Ok(Published { head, bytes })
 }
@@ -152,15 +144,8 @@
     };
     let newest = newest.version.get();
     let oldest = newest.saturating_sub(limit.saturating_sub(1)).max(1);
-    let keys = (oldest..=newest)
-        .map(|v| log_key(Version(v)).into())
-        .collect();
-    let mut heads: Vec<Head> = table
-        .read(keys)
-        .await?
-        .iter()
-        .map(decode)
-        .collect::<Result<_>>()?;
+    let keys = (oldest..=newest).map(|v| log_key(Version(v)).into()).collect();
+    let mut heads: Vec<Head> = table.read(keys).await?.iter().map(decode).collect::<Result<_>>()?;
     heads.sort_by_key(|head| std::cmp::Reverse(head.version));
     Ok(heads)
 }
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -53,28 +53,16 @@
     /// Writes `value` if the row still has `version`, or is absent when that is `None`.
     #[must_use]
     pub fn with_put(mut self, key: &str, version: Option<u64>, value: &str) -> Self {
-        self.conditions.push(Condition {
-            key: key.into(),
-            version,
-        });
-        self.writes.push(Write {
-            key: key.into(),
-            value: Some(value.into()),
-        });
+        self.conditions.push(Condition { key: key.into(), version });
+        self.writes.push(Write { key: key.into(), value: Some(value.into()) });
         self
     }
 
     /// Deletes the row if it still has `version`.
     #[must_use]
     pub fn with_delete(mut self, key: &str, version: u64) -> Self {
-        self.conditions.push(Condition {
-            key: key.into(),
-            version: Some(version),
-        });
-        self.writes.push(Write {
-            key: key.into(),
-            value: None,
-        });
+        self.conditions.push(Condition { key: key.into(), version: Some(version) });
+        self.writes.push(Write { key: key.into(), value: None });
         self
     }
 }
@@ -122,11 +110,7 @@
         let Ok(body) = serde_json::to_vec(transaction) else {
             return Commit::Lost;
         };
-        match self
-            .caller
-            .call(Method::POST, "/table/transact", body)
-            .await
-        {
+        match self.caller.call(Method::POST, "/table/transact", body).await {
             Ok(answer) if answer.status.is_success() => Commit::Done,
             Ok(answer) if answer.status.as_u16() == 409 => {
                 match serde_json::from_slice::<Rows>(&answer.body) {
@@ -145,11 +129,7 @@
     pub async fn read(&self, keys: Vec<Box<str>>) -> Result<Vec<Row>> {
         let body = serde_json::to_vec(&Keys { keys })?;
         let answer = self.caller.call(Method::POST, "/table/read", body).await?;
-        anyhow::ensure!(
-            answer.status.is_success(),
-            "table answered {}",
-            answer.status
-        );
+        anyhow::ensure!(answer.status.is_success(), "table answered {}", answer.status);
         Ok(serde_json::from_slice::<Rows>(&answer.body)?.rows)
     }
 
--- /dev/null
+++ b/crates/store/tests/lease.rs
@@ -0,0 +1,98 @@
+//! One holder at a time, whatever pauses fall between its steps.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use proptest::prelude::*;
+use std::time::Duration;
+use store::lease::{LENGTH, Lease, Tenure};
+use units::{InstanceId, Time};
+
+const KEY: &str = "lease/test";
+const HOLDERS: usize = 3;
+
+/// Step of one gateway: how long after the last event it reads, and how long until it writes.
+#[derive(Debug, Clone)]
+struct Step {
+    holder: usize,
+    pause_ms: u64,
+    read_ms: u64,
+    write_ms: u64,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let pause = prop_oneof![5 => 0u64..1500, 1 => 0u64..15_000];
+    let call = prop_oneof![5 => 0u64..50, 1 => 0u64..12_000];
+    (0..HOLDERS, pause, call.clone(), call).prop_map(|(holder, pause_ms, read_ms, write_ms)| Step {
+        holder,
+        pause_ms,
+        read_ms,
+        write_ms,
+    })
+}
+
+/// Events of overlapping steps, in the order of their times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Read(usize),
+    Write(usize),
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn never_two_holders(steps in prop::collection::vec(step(), 1..60)) {
+        let name = |i: usize| InstanceId::new(&format!("gw-{i}")).unwrap();
+        let mut tenures: Vec<Tenure> = (0..HOLDERS).map(|i| Tenure::new(name(i), KEY)).collect();
+        let mut free_at = [0u64; HOLDERS];
+        let mut events = Vec::new();
+        let mut start = 0;
+        for (index, step) in steps.iter().enumerate() {
+            start += step.pause_ms / 4;
+            let begun = free_at[step.holder].max(start) + step.pause_ms;
+            let read = begun + step.read_ms;
+            let write = read + step.write_ms;
+            free_at[step.holder] = write + 1;
+            events.push((read, Event::Read(index), begun));
+            events.push((write, Event::Write(index), begun));
+        }
+        events.sort();
+        let mut row: Option<(Lease, u64)> = None;
+        let mut intents: Vec<Option<(Lease, Option<u64>)>> = vec![None; steps.len()];
+        let mut fences = Vec::new();
+        for (at, event, begun) in events {
+            let (now, begun) = (Time::from_millis(at), Time::from_millis(begun));
+            match event {
+                Event::Read(index) => {
+                    let version = row.as_ref().map(|(_, version)| *version);
+                    let found = row.as_ref().map(|(lease, _)| lease);
+                    let next = tenures[steps[index].holder].next(found, begun, now);
+                    intents[index] = next.map(|lease| (lease, version));
+                }
+                Event::Write(index) => {
+                    let Some((lease, version)) = intents[index].take() else { continue };
+                    if row.as_ref().map(|(_, version)| *version) == version {
+                        fences.push(lease.fence);
+                        row = Some((lease.clone(), version.unwrap_or(0) + 1));
+                        tenures[steps[index].holder].confirm(lease, begun);
+                    }
+                }
+            }
+            for probe in [0, 500, 3000] {
+                let later = now + Duration::from_millis(probe);
+                let holders = tenures.iter().filter(|t| t.fence(later).is_some()).count();
+                prop_assert!(probe > 0 || holders <= 1, "{holders} holders at {now}");
+            }
+        }
+        prop_assert!(fences.windows(2).all(|pair| pair[0] <= pair[1]), "a fence went back");
+    }
+}
+
+#[test]
+fn a_holder_that_wakes_late_gives_no_order() {
+    let mut tenure = Tenure::new(InstanceId::new("gw-1").unwrap(), KEY);
+    let lease = tenure.next(None, Time::ZERO, Time::ZERO).unwrap();
+    tenure.confirm(lease, Time::ZERO);
+    assert_eq!(tenure.fence(Time::from_millis(100)), Some(1));
+    assert_eq!(tenure.fence(Time::ZERO + LENGTH), None);
+}
--- a/crates/units/src/time.rs
+++ b/crates/units/src/time.rs
@@ -71,9 +71,7 @@
     /// Clock that reads zero now.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Current reading.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -32,22 +32,13 @@
     #[must_use]
     pub fn new(bid: Bid, now: Time) -> Self {
         let remaining = bid.deadline.since(now);
-        Self {
-            bid: Bid {
-                deadline: Time::ZERO,
-                ..bid
-            },
-            remaining,
-        }
+        Self { bid: Bid { deadline: Time::ZERO, ..bid }, remaining }
     }
 
     /// Bid on the receiver's clock.
     #[must_use]
     pub fn into_bid(self, now: Time) -> Bid {
-        Bid {
-            deadline: now + self.remaining,
-            ..self.bid
-        }
+        Bid { deadline: now + self.remaining, ..self.bid }
     }
 }
 
@@ -62,6 +53,17 @@
     pub bid: Option<TimedBid>,
 }
 
+/// Demand for a cell.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Time that the waiting work takes.
+    pub backlog: Duration,
+    /// Permits in use.
+    pub in_use: u32,
+    /// Requests that the windows allow.
+    pub room: u32,
+}
+
 /// One message between gateways.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -77,6 +79,8 @@
     Cancel(CellId, RequestId),
     /// Holder to owner: first token after this time.
     FirstToken(CellId, Permit, Duration),
+    /// Holder to owner: running answers are this many times slower than usual, in hundredths.
+    Slowed(CellId, EndpointId, u32),
     /// Holder to owner: permit not in use any more.
     Ended(CellId, Permit, Outcome),
     /// Holder to owner: permits in use.
@@ -87,6 +91,8 @@
     Shed(CellId, Shed),
     /// Owner to holder: a repeated registration is known.
     Queued(CellId),
+    /// Owner to the gateway that plans placement: demand for a cell.
+    Demand(CellId, Demand),
     /// Asks for the publication in force if it is newer.
     WantPublication(Version),
     /// Publication in force, as its digest and bytes.
--- a/src/gateways.rs
+++ b/src/gateways.rs
@@ -78,17 +78,11 @@
     let response = request.timeout(timeout).send_body(body).await;
     let response = response.map_err(|e| unreachable(e.to_string()))?;
     let status = response.status();
-    let body = response
-        .body()
-        .await
-        .map_err(|e| unreachable(e.to_string()))?;
+    let body = response.body().await.map_err(|e| unreachable(e.to_string()))?;
     if status.is_success() || status == StatusCode::ACCEPTED {
         return Ok(body);
     }
-    Err(unreachable(format!(
-        "{status}: {}",
-        String::from_utf8_lossy(&body)
-    )))
+    Err(unreachable(format!("{status}: {}", String::from_utf8_lossy(&body))))
 }
 
 /// Sends a call to a gateway.
@@ -109,10 +103,7 @@
 
 /// Runs `status`.
 pub async fn status(options: &StatusOptions, output: &Output) -> Result {
-    let gateways = Gateways {
-        gateway: options.gateway.clone(),
-        directory: options.directory,
-    };
+    let gateways = Gateways { gateway: options.gateway.clone(), directory: options.directory };
     let mut found = Vec::new();
     let mut lines = Vec::new();
     for address in gateways.addresses().await? {
@@ -133,12 +124,9 @@
 
 fn line(status: &Value) -> String {
     let text = |key: &str| status[key].to_string().replace('"', "");
-    let alive = status["members"].as_array().map_or(0, |members| {
-        members
-            .iter()
-            .filter(|member| member["state"] == "Alive")
-            .count()
-    });
+    let alive = status["members"]
+        .as_array()
+        .map_or(0, |members| members.iter().filter(|member| member["state"] == "Alive").count());
     format!(
         "{:<12} ready={} version={} members={alive} in_progress={} waiting={} whole={} refused={} cut={} store_up={}",
         text("instance"),
@@ -155,32 +143,18 @@
 
 /// Runs `drain`.
 pub async fn drain(options: &DrainOptions, output: &Output) -> Result {
-    let gateways = Gateways {
-        gateway: options.gateway.clone(),
-        directory: options.directory,
-    };
+    let gateways = Gateways { gateway: options.gateway.clone(), directory: options.directory };
     let path = format!("/drain/{}", options.endpoint);
     let mut last = Failure::new(Code::GatewayUnreachable, "no gateway answered");
     for address in gateways.addresses().await? {
         let client = Client::new().await;
         let url = format!("http://{address}{path}");
-        let request = if options.undo {
-            client.delete(url)
-        } else {
-            client.post(url)
-        };
+        let request = if options.undo { client.delete(url) } else { client.post(url) };
         match exchange(request, Vec::new()).await {
             Ok(_) => {
-                let verb = if options.undo {
-                    "gets work again"
-                } else {
-                    "gets no new work"
-                };
+                let verb = if options.undo { "gets work again" } else { "gets no new work" };
                 let text = format!("{} {verb}; told {address}", options.endpoint);
-                output.print(
-                    &text,
-                    &json!({"endpoint": options.endpoint, "told": address}),
-                );
+                output.print(&text, &json!({"endpoint": options.endpoint, "told": address}));
                 return Ok(());
             }
             Err(failure) => last = failure,
--- a/src/keygen.rs
+++ b/src/keygen.rs
@@ -24,11 +24,7 @@
 /// Runs the command. The authority's key is not kept: rotation makes a new authority.
 pub fn run(options: &Options, output: &Output) -> Result {
     write(options).map_err(|e| Failure::new(Code::InvalidSettings, format!("{e:#}")))?;
-    let text = format!(
-        "{} certificates in {}",
-        options.names.len(),
-        options.folder.display()
-    );
+    let text = format!("{} certificates in {}", options.names.len(), options.folder.display());
     output.print(&text, &json!({"certificates": options.names}));
     Ok(())
 }
--- a/src/output.rs
+++ b/src/output.rs
@@ -17,16 +17,13 @@
     /// Result code.
     pub code: Code,
     /// What happened.
-    pub detail: String,
+    pub detail: Box<str>,
 }
 
 impl Failure {
     /// Failure with a result code.
     pub fn new(code: Code, detail: impl std::fmt::Display) -> Self {
-        Self {
-            code,
-            detail: detail.to_string(),
-        }
+        Self { code, detail: detail.to_string().into() }
     }
 }
 
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -67,10 +67,7 @@
     let told = tell(directory, &published).await;
     let head = &published.head;
     let text = format!("version {} is accepted; {told} gateways told", head.version);
-    output.print(
-        &text,
-        &json!({"version": head.version, "digest": head.digest, "told": told}),
-    );
+    output.print(&text, &json!({"version": head.version, "digest": head.digest, "told": told}));
     Ok(())
 }
 
@@ -85,10 +82,7 @@
 
 /// Hands the document to a few gateways, so that it spreads although the store may go down now.
 async fn tell(directory: SocketAddr, published: &Published) -> usize {
-    let gateways = Gateways {
-        gateway: Vec::new(),
-        directory: Some(directory),
-    };
+    let gateways = Gateways { gateway: Vec::new(), directory: Some(directory) };
     let Ok(addresses) = gateways.addresses().await else {
         return 0;
     };
@@ -115,10 +109,5 @@
 }
 
 fn line(head: &Head) -> String {
-    format!(
-        "{:>6}  {}  {}",
-        head.version.get(),
-        head.digest,
-        head.author
-    )
+    format!("{:>6}  {}  {}", head.version.get(), head.digest, head.author)
 }
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,165 @@
+//! Kills, freezes and cuts with hundreds of requests in flight.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use harness::{
+    Client, Guild, Shape, Signal,
+    call::{self, ask, chat, is_whole},
+};
+use load::{Mix, Outcome, Plan, Verdict, drive};
+use std::time::Duration;
+
+/// Length of a run.
+const SPAN: Duration = Duration::from_secs(8);
+/// Time of the failure.
+const FAILURE: Duration = Duration::from_secs(2);
+/// Requests a second.
+const RATE: f64 = 40.0;
+
+/// Offers to the first `gateways` gateways.
+async fn offer(guild: &Guild, gateways: usize, seed: u64) -> Vec<Outcome> {
+    let mix = Mix::roofcare();
+    let plan = Plan::new(seed).with_calm(SPAN, RATE).build(&mix);
+    let addresses: Vec<_> =
+        guild.gateways.iter().take(gateways).map(|gateway| gateway.callers).collect();
+    drive(&plan, &addresses, &mix).await.unwrap()
+}
+
+fn count(outcomes: &[Outcome], verdict: impl Fn(&Verdict) -> bool) -> usize {
+    outcomes.iter().filter(|outcome| verdict(&outcome.verdict)).count()
+}
+
+/// Nothing lost in silence, crossed, or cut without a word; no request failed after it was sent.
+fn assert_unharmed(outcomes: &[Outcome]) {
+    let bad: Vec<_> = outcomes
+        .iter()
+        .filter(|o| !matches!(o.verdict, Verdict::Whole | Verdict::Refused(_)))
+        .map(|o| (o.offer.at, o.verdict.clone()))
+        .collect();
+    assert!(bad.is_empty(), "{bad:?}");
+    let whole = count(outcomes, |v| *v == Verdict::Whole);
+    assert!(whole * 2 > outcomes.len(), "{whole} of {} were answered", outcomes.len());
+}
+
+#[ntex::test]
+async fn two_owners_die() {
+    let guild = Guild::start(Shape::new(5)).await.unwrap();
+    let failure = async {
+        tokio::time::sleep(FAILURE).await;
+        guild.gateways[3].process.signal(Signal::Kill).unwrap();
+        guild.gateways[4].process.signal(Signal::Kill).unwrap();
+    };
+    let (outcomes, ()) = tokio::join!(offer(&guild, 3, 11), failure);
+    assert_unharmed(&outcomes);
+}
+
+#[ntex::test]
+async fn two_owners_freeze_and_thaw() {
+    let guild = Guild::start(Shape::new(5)).await.unwrap();
+    let failure = async {
+        tokio::time::sleep(FAILURE).await;
+        guild.gateways[3].process.signal(Signal::Stop).unwrap();
+        guild.gateways[4].process.signal(Signal::Stop).unwrap();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        guild.gateways[3].process.signal(Signal::Continue).unwrap();
+        guild.gateways[4].process.signal(Signal::Continue).unwrap();
+    };
+    let (outcomes, ()) = tokio::join!(offer(&guild, 3, 12), failure);
+    assert_unharmed(&outcomes);
+    let client = Client::new().await.unwrap();
+    let healed = async || {
+        let status = guild.status(&client, 3).await.unwrap();
+        let members = status["members"].as_array().unwrap();
+        members.iter().filter(|member| member["state"] == "Alive").count() == 5
+    };
+    call::eventually("the members meet again", Duration::from_secs(20), healed).await;
+}
+
+#[ntex::test]
+async fn an_endpoint_crashes() {
+    let guild = Guild::start(Shape::new(3)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    let failure = async {
+        tokio::time::sleep(FAILURE).await;
+        guild.control(&client, "vaani-01", "{\"crash\": true}").await.unwrap();
+        guild.control(&client, "vaani-05", "{\"crash\": true}").await.unwrap();
+    };
+    let (outcomes, ()) = tokio::join!(offer(&guild, 3, 13), failure);
+    let silent = count(&outcomes, |v| matches!(v, Verdict::Cut | Verdict::Crossed | Verdict::Lost));
+    assert_eq!(silent, 0);
+    let others = count(&outcomes, |v| matches!(v, Verdict::Failed(code) if *code != 4002));
+    assert_eq!(others, 0, "only answers that were cut fail");
+    let failed = count(&outcomes, |v| matches!(v, Verdict::Failed(_)));
+    assert!(failed > 0, "something was in flight");
+}
+
+#[ntex::test]
+async fn a_cut_stream_is_resumed_where_it_runs() {
+    let guild = Guild::start(Shape::new(2)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    let gateway = guild.gateways[0].callers;
+    let streams: Vec<_> = (0..20)
+        .map(|i| {
+            let client = client.clone();
+            ntex::rt::spawn(async move {
+                let mark = format!("r{i}");
+                let answer = ask(&client, gateway, &chat(&mark, 120)).await.unwrap();
+                assert!(is_whole(&answer, &mark, 120), "{}", answer.body);
+            })
+        })
+        .collect();
+    for _ in 0..2 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for n in 1..=12 {
+            guild.control(&client, &format!("vaani-{n:02}"), "{\"cut\": true}").await.unwrap();
+        }
+    }
+    for stream in streams {
+        stream.await.unwrap();
+    }
+    guild.gateways[0].process.wait_line("\"name\":\"Resumed\"").unwrap();
+    let stats = guild.stats(&client).await.unwrap();
+    let endpoints = stats.as_object().unwrap();
+    let twice = endpoints
+        .values()
+        .flat_map(|endpoint| endpoint["runs"].as_object().unwrap().values())
+        .filter(|runs| runs.as_u64() > Some(1))
+        .count();
+    assert_eq!(twice, 0, "a request was dispatched twice");
+}
+
+#[ntex::test]
+async fn a_store_outage_does_not_disturb_idempotent_work() {
+    let guild = Guild::start(Shape::new(3)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    let down = "{\"outage\": true, \"directory_outage\": true}";
+    guild.control_platform(&client, down).await.unwrap();
+    let outcomes = offer(&guild, 3, 14).await;
+    assert_unharmed(&outcomes);
+}
+
+#[ntex::test]
+async fn no_process_opens_a_ring() {
+    let guild = Guild::start(Shape::new(1)).await.unwrap();
+    let ids = [guild.gateways[0].process.id(), guild.platform.id(), guild.endpoints[0].id()];
+    for id in ids {
+        for entry in std::fs::read_dir(format!("/proc/{id}/fd")).unwrap() {
+            let target = std::fs::read_link(entry.unwrap().path()).unwrap_or_default();
+            assert!(!target.to_string_lossy().contains("io_uring"), "{target:?}");
+        }
+    }
+}
+
+#[ntex::test]
+async fn a_gateway_whose_log_nobody_reads_goes_on() {
+    let mut guild = Guild::start(Shape::new(1)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    guild.gateways[0].process.stop_reading();
+    for round in 0..20 {
+        let mark = format!("l{round}");
+        let answer = ask(&client, guild.gateways[0].callers, &chat(&mark, 4)).await.unwrap();
+        assert!(is_whole(&answer, &mark, 4), "{answer:?}");
+    }
+    guild.gateways[0].process.signal(Signal::Terminate).unwrap();
+    assert_eq!(guild.gateways[0].process.wait(Duration::from_secs(20)).unwrap(), Some(0));
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,5 +1,7 @@
 //! The whole path, end to end, with real processes.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use harness::{Client, Guild, Shape};
 use ntex::http::Method;
 use serde_json::json;
@@ -20,65 +22,37 @@
     let headers = [("bamboo-organisation", "surat"), ("bamboo-tier", "booking")];
     let address = guild.gateways[0].callers;
 
-    let streamed = client
-        .call(Method::POST, address, CHAT, &headers, &chat("a1", 12, true))
-        .await
-        .unwrap();
+    let streamed =
+        client.call(Method::POST, address, CHAT, &headers, &chat("a1", 12, true)).await.unwrap();
     assert_eq!(streamed.status, 200, "{}", streamed.body);
     assert!(streamed.body.contains("a1:12 "), "{}", streamed.body);
-    assert!(
-        streamed.body.trim_end().ends_with("data: [DONE]"),
-        "{}",
-        streamed.body
-    );
+    assert!(streamed.body.trim_end().ends_with("data: [DONE]"), "{}", streamed.body);
 
-    let plain = client
-        .call(Method::POST, address, CHAT, &headers, &chat("b2", 5, false))
-        .await
-        .unwrap();
+    let plain =
+        client.call(Method::POST, address, CHAT, &headers, &chat("b2", 5, false)).await.unwrap();
     let answer = plain.json();
-    assert_eq!(
-        answer["choices"][0]["message"]["content"],
-        "b2:1 b2:2 b2:3 b2:4 b2:5 "
-    );
+    assert_eq!(answer["choices"][0]["message"]["content"], "b2:1 b2:2 b2:3 b2:4 b2:5 ");
     assert_eq!(answer["usage"]["completion_tokens"], 5);
 
-    let booking = [
-        ("bamboo-organisation", "surat"),
-        ("idempotency-key", "house-7"),
-    ];
+    let booking = [("bamboo-organisation", "surat"), ("idempotency-key", "house-7")];
     let path = "/services/bookdesk/bookings";
-    let first = client
-        .call(Method::POST, address, path, &booking, "{\"house\":7}")
-        .await
-        .unwrap();
+    let first = client.call(Method::POST, address, path, &booking, "{\"house\":7}").await.unwrap();
     assert_eq!(first.status, 200, "{}", first.body);
     assert!(!first.replayed);
     let other = guild.gateways[1].callers;
-    let mut again = client
-        .call(Method::POST, other, path, &booking, "{\"house\":7}")
-        .await
-        .unwrap();
+    let mut again =
+        client.call(Method::POST, other, path, &booking, "{\"house\":7}").await.unwrap();
     for _ in 0..20 {
         // Until the outcome is recorded the earlier attempt is in doubt.
         if again.code != Some(3002) {
             break;
         }
         tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-        again = client
-            .call(Method::POST, other, path, &booking, "{\"house\":7}")
-            .await
-            .unwrap();
+        again = client.call(Method::POST, other, path, &booking, "{\"house\":7}").await.unwrap();
     }
     assert!(again.replayed, "{}", again.body);
     assert_eq!(again.body, first.body);
-    let reused = client
-        .call(Method::POST, other, path, &booking, "{\"house\":8}")
-        .await
-        .unwrap();
+    let reused = client.call(Method::POST, other, path, &booking, "{\"house\":8}").await.unwrap();
     assert_eq!(reused.code, Some(3003));
-    guild.gateways[0]
-        .process
-        .wait_line("\"name\":\"Routed\"")
-        .unwrap();
+    guild.gateways[0].process.wait_line("\"name\":\"Routed\"").unwrap();
 }
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,127 @@
+//! Orders under a lease: one holder, never a service without an endpoint.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use harness::{
+    Client, Guild, Shape, Signal,
+    call::{self, eventually},
+};
+use ntex::http::Method;
+use serde_json::{Value, json};
+use std::{cell::Cell, fmt::Write as _, rc::Rc, time::Duration};
+
+const LIMIT: Duration = Duration::from_secs(150);
+
+fn shape(folder: &std::path::Path, gateways: usize) -> Shape {
+    let mut fleet = String::new();
+    for (service, count) in [("busy", 1), ("idle", 3)] {
+        let file = format!(
+            "service = \"{service}\"\nkind = \"model\"\ntiers = [\"only\"]\n\
+             checks_fencing = true\nmovable = true\n"
+        );
+        std::fs::create_dir_all(folder.join("services")).unwrap();
+        std::fs::write(folder.join(format!("services/{service}.bamboo.toml")), file).unwrap();
+        for n in 1..=count {
+            let _ = write!(
+                fleet,
+                "[[endpoint]]\nid = \"{service}-{n}\"\nservice = \"{service}\"\nzone = \"adajan\"\n\
+                 region = \"tapi-west\"\nstep_us = 20000\nbatch = 4\nload_ms = 500\n"
+            );
+        }
+    }
+    let shape = Shape::new(gateways).with_fleet(folder, &fleet).unwrap();
+    let place = ("adajan".to_owned(), "tapi-west".to_owned());
+    let services = folder.join("services");
+    Shape { services, places: vec![place], ..shape.with_limits("horizon_ms = 20000") }
+}
+
+/// Offers more to the busy service than its endpoint can serve.
+fn offer(guild: &Guild, client: &Client, gateway: usize) -> Rc<Cell<bool>> {
+    let stop = Rc::new(Cell::new(false));
+    let body = json!({"model": "busy", "stream": true, "max_tokens": 30,
+        "messages": [{"role": "user", "content": "<<p>> more"}]});
+    for worker in 0..40 {
+        let (client, stop) = (client.clone(), Rc::clone(&stop));
+        let body = body.to_string().replace("<<p>>", &format!("<<p{worker}>>"));
+        let address = guild.gateways[gateway].callers;
+        ntex::rt::spawn(async move {
+            while !stop.get() {
+                let headers = [("bamboo-organisation", "surat")];
+                let _ = client.call(Method::POST, address, call::CHAT, &headers, &body).await;
+            }
+        });
+    }
+    stop
+}
+
+fn orders(stats: &Value) -> Vec<(u64, String)> {
+    let endpoints = stats.as_object().into_iter().flatten();
+    let lists = endpoints.filter_map(|(_, endpoint)| endpoint["orders"].as_array());
+    let order = |order: &Value| (order[0].as_u64().unwrap(), order[1].as_str().unwrap().to_owned());
+    lists.flatten().map(order).collect()
+}
+
+async fn serving(guild: &Guild, client: &Client, service: &str) -> usize {
+    let status = guild.status(client, 0).await.unwrap();
+    let endpoints = status["endpoints"].as_array().unwrap();
+    endpoints.iter().filter(|e| e["service"] == service && e["leaving"] == false).count()
+}
+
+#[ntex::test]
+async fn demand_moves_endpoints_and_a_donor_keeps_one() {
+    let folder = tempfile::TempDir::new().unwrap();
+    let guild = Guild::start(shape(folder.path(), 3)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    let stop = offer(&guild, &client, 0);
+    let moved = async || serving(&guild, &client, "busy").await == 3;
+    eventually("two endpoints move", LIMIT, moved).await;
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    assert_eq!(serving(&guild, &client, "idle").await, 1, "a service was left without an endpoint");
+    let stats = guild.stats(&client).await.unwrap();
+    let given = orders(&stats);
+    assert_eq!(given.len(), 2, "{given:?}");
+    assert!(given.iter().all(|(_, service)| service == "busy"));
+    for (name, endpoint) in stats.as_object().unwrap() {
+        assert_eq!(endpoint["orders_while_running"], 0, "{name} was ordered while it ran requests");
+    }
+    assert!(!call::log_lines(&guild, &["Placement"]).is_empty());
+    stop.set(true);
+}
+
+#[ntex::test]
+async fn a_frozen_holder_gives_no_order_when_it_thaws() {
+    let folder = tempfile::TempDir::new().unwrap();
+    let guild = Guild::start(shape(folder.path(), 4)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    let holds = |gateway: &harness::Gateway| {
+        gateway.process.lines().iter().any(|line| line.contains("lease taken"))
+    };
+    let taken = async || guild.gateways.iter().any(holds);
+    eventually("a gateway takes the lease", LIMIT, taken).await;
+    let holder = guild.gateways.iter().position(holds).unwrap();
+    let offered = usize::from(holder == 0);
+    let stop = offer(&guild, &client, offered);
+    let planned = async || call::log_lines(&guild, &["Placement"]).contains("\"to\":\"busy\"");
+    eventually("an order is planned", LIMIT, planned).await;
+    // Frozen in mid-order: the endpoint is marked, the order has not left.
+    guild.gateways[holder].process.signal(Signal::Stop).unwrap();
+    let others = || guild.gateways.iter().enumerate().filter(|(index, _)| *index != holder);
+    let succeeded = async || others().any(|(_, gateway)| holds(gateway));
+    eventually("another gateway takes the lease", LIMIT, succeeded).await;
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    guild.gateways[holder].process.signal(Signal::Continue).unwrap();
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let stats = guild.stats(&client).await.unwrap();
+    for (name, endpoint) in stats.as_object().unwrap() {
+        let fences: Vec<u64> = endpoint["orders"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .map(|order| order[0].as_u64().unwrap())
+            .collect();
+        assert!(fences.windows(2).all(|pair| pair[0] <= pair[1]), "{name}: {fences:?}");
+    }
+    let status = guild.status(&client, offered).await.unwrap();
+    assert_eq!(status["ready"], true);
+    stop.set(true);
+}
--- /dev/null
+++ b/tests/refusals.rs
@@ -0,0 +1,105 @@
+//! Bad input gets a clear refusal and costs no endpoint anything.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use harness::{
+    Client, Guild, Shape,
+    call::{BOOKINGS, CHAT, chat},
+};
+use ntex::http::Method;
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
+
+struct Case {
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: String,
+    code: u16,
+}
+
+fn case(
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: impl Into<String>,
+    code: u16,
+) -> Case {
+    Case { path, headers, body: body.into(), code }
+}
+
+const ORG: &[(&str, &str)] = &[("bamboo-organisation", "surat")];
+
+#[ntex::test]
+async fn each_kind_of_bad_input() {
+    let shape = Shape::new(1).with_limits("body = 20000\nbody_timeout_ms = 500");
+    let guild = Guild::start(shape).await.unwrap();
+    let client = Client::new().await.unwrap();
+    let unknown_tier = &[("bamboo-organisation", "surat"), ("bamboo-tier", "gold")];
+    let bad_deadline = &[("bamboo-organisation", "surat"), ("bamboo-deadline-ms", "soon")];
+    let bad_organisation = &[("bamboo-organisation", "a b")];
+    let passed = &[("bamboo-organisation", "surat"), ("bamboo-deadline-ms", "0")];
+    let cases = [
+        case(CHAT, ORG, "{\"model\":", 1001),
+        case(CHAT, ORG, "{\"model\":\"vaani-7b\",\"messages\":[]}", 1001),
+        case(CHAT, &[], chat("a", 1), 1001),
+        case(CHAT, bad_organisation, chat("a", 1), 1001),
+        case(CHAT, bad_deadline, chat("a", 1), 1001),
+        case(CHAT, ORG, "x".repeat(30_000), 1002),
+        case(CHAT, ORG, chat("a", 1).replace("vaani-7b", "gpt"), 1003),
+        case(CHAT, ORG, chat("a", 1).replace("vaani-7b", "bookdesk"), 1003),
+        case("/services/nobody/x", ORG, "{}", 1003),
+        case(CHAT, unknown_tier, chat("a", 1), 1004),
+        case(BOOKINGS, ORG, "{}", 1005),
+        case("/services/bookdesk/payments", ORG, "{}", 1006),
+        case("/elsewhere", ORG, "{}", 1006),
+        case(CHAT, passed, chat("a", 1), 2002),
+    ];
+    for case in cases {
+        let answer = client
+            .call(Method::POST, guild.gateways[0].callers, case.path, case.headers, &case.body)
+            .await
+            .unwrap();
+        let problem = answer.json();
+        assert_eq!(answer.code, Some(case.code), "{}: {answer:?}", case.path);
+        assert_eq!(problem["code"], case.code);
+        assert_eq!(problem["executed"], "never");
+        assert!(problem["request_id"].is_string());
+        assert!(problem["detail"].as_str().is_some_and(|detail| !detail.is_empty()));
+    }
+    assert_slow_sender(guild.gateways[0].callers);
+    let stats = guild.stats(&client).await.unwrap();
+    for (name, endpoint) in stats.as_object().unwrap() {
+        assert_eq!(endpoint["requests"], 0, "{name} was asked");
+    }
+}
+
+/// A body that does not arrive in time.
+fn assert_slow_sender(gateway: std::net::SocketAddr) {
+    let mut stream = TcpStream::connect(gateway).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nbamboo-organisation: surat\r\ncontent-length: 500\r\n\r\n{{"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut answer = vec![0; 4096];
+    let read = stream.read(&mut answer).unwrap();
+    let answer = String::from_utf8_lossy(&answer[..read]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("1007"), "{answer}");
+}
+
+#[ntex::test]
+async fn no_live_endpoint() {
+    let guild = Guild::start(Shape::new(1)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    drop(guild.endpoints);
+    let headers = [("bamboo-organisation", "surat"), ("bamboo-deadline-ms", "3000")];
+    let answer = client
+        .call(Method::POST, guild.gateways[0].callers, CHAT, &headers, &chat("a", 1))
+        .await
+        .unwrap();
+    assert!(matches!(answer.code, Some(4001 | 2002)), "{answer:?}");
+    assert_eq!(answer.json()["executed"], "never");
+}
--- /dev/null
+++ b/tests/stranger.rs
@@ -0,0 +1,50 @@
+//! Peers without a certificate of the guild are refused.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use harness::{Client, Guild, Shape, call};
+use link::{Authority, Identity, Link};
+use member::{Message, Record, State};
+use std::time::Duration;
+use units::{InstanceId, RegionId, ZoneId};
+use wire::Frame;
+
+#[ntex::test]
+async fn a_stranger_joins_nothing() {
+    let guild = Guild::start(Shape::new(2)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    let folder = tempfile::TempDir::new().unwrap();
+    let path = |name: &str| folder.path().join(name);
+    let authority = Authority::generate().unwrap();
+    let (certificate, key) = authority.issue().unwrap();
+    std::fs::write(path("a.pem"), authority.pem()).unwrap();
+    std::fs::write(path("c.pem"), certificate).unwrap();
+    std::fs::write(path("k.pem"), key).unwrap();
+    // The stranger trusts the guild, but the guild does not trust the stranger.
+    let guilds = guild.folder.path().join("authority.pem");
+    let identity = Identity::read(&path("c.pem"), &path("k.pem"), &[guilds]).unwrap();
+    let name = InstanceId::new("stranger").unwrap();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let (link, _frames) =
+        Link::bind(name.clone(), "127.0.0.1:0".parse().unwrap(), &identity, log).unwrap();
+    let record = Record {
+        instance: name,
+        address: link.local_address().unwrap(),
+        zone: ZoneId::new("z").unwrap(),
+        region: RegionId::new("r").unwrap(),
+        incarnation: 1,
+        state: State::Alive,
+    };
+    for _ in 0..3 {
+        let message = Message::Sync { records: Box::new([record.clone()]), reply: true };
+        link.send(guild.gateways[0].peers, Frame::Member(message));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let refused = async || {
+        let status = guild.status(&client, 0).await.unwrap();
+        status["link"]["strangers"].as_u64() > Some(0)
+    };
+    call::eventually("the stranger is refused", Duration::from_secs(10), refused).await;
+    let status = guild.status(&client, 0).await.unwrap();
+    assert_eq!(status["members"].as_array().unwrap().len(), 2, "{status}");
+}
