--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -36,6 +36,8 @@
 /// Runs the measurement.
 pub fn run(options: &Options) -> Result<()> {
     println!("| measurement | size | min | median | max | unit |\n|---|---|---|---|---|---|");
+    // Memory first: later measurements would leave free pages behind.
+    print_memory(options.seed);
     for endpoints in [12, 24, 100, 500, 2300] {
         let spans = repeat(|| decide(options.seed, endpoints, 5));
         print("request through cells of 24 or fewer", &endpoints.to_string(), &spans);
@@ -52,7 +54,6 @@
         let spans = repeat(|| rank(members));
         print("ranking owners of a cell", &members.to_string(), &spans);
     }
-    print_memory(options.seed);
     print_sizes()
 }
 
--- a/crates/gateway/src/controller/loads.rs
+++ b/crates/gateway/src/controller/loads.rs
@@ -9,16 +9,28 @@
 use std::{sync::Arc, time::Duration};
 use units::EndpointId;
 
-/// Interval of reports.
+/// Shortest interval of reports.
 const INTERVAL: Duration = Duration::from_millis(1000);
+/// Part of the interval for each endpoint that is asked, so that large cells stay within the budget.
+const ENDPOINT_SHARE: Duration = Duration::from_millis(100);
 
 /// Asks until the process ends.
 pub async fn run(board: Arc<Blackboard>, engines: engine::Client) {
     loop {
-        for endpoint in endpoints(&board) {
+        let endpoints = endpoints(&board);
+        let count = u32::try_from(endpoints.len()).unwrap_or(u32::MAX);
+        for endpoint in endpoints {
             ntex::rt::spawn(ask(Arc::clone(&board), engines.clone(), endpoint));
         }
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(INTERVAL.max(interval(&board, count))).await;
+    }
+}
+
+/// Interval of permits' reports; baselines live by their reports and are not slowed down.
+fn interval(board: &Blackboard, endpoints: u32) -> Duration {
+    match board.settings.policy {
+        Policy::Permits => ENDPOINT_SHARE.saturating_mul(endpoints),
+        _ => INTERVAL,
     }
 }
 
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -27,7 +27,7 @@
     time::Duration,
 };
 use tokio::sync::oneshot;
-use units::{EndpointId, InstanceId, Permit, RequestId, ServiceId, Time, score};
+use units::{EndpointId, InstanceId, Permit, RegionId, RequestId, ServiceId, Time, score};
 use wire::{Frame, Held, TimedBid};
 
 /// Cells of the home region that a request is registered with at first.
@@ -118,7 +118,7 @@
             return receiver;
         }
         let map = board.map();
-        let routes = home_routes(&map, service, &board.settings.region, bid.request);
+        let routes = home_routes(&map, service, &board.settings.region, &board.settings.instance);
         inner.waiters.insert(bid.request, sender);
         let actions = inner.holder.submit(bid, &routes, now);
         inner.perform(board, actions, now);
@@ -302,18 +302,15 @@
 }
 
 /// Routes that a request is registered with at first: at home, else wherever the service runs.
-fn home_routes(
-    map: &Map,
-    service: &ServiceId,
-    region: &units::RegionId,
-    request: RequestId,
-) -> Vec<Route> {
+///
+/// A gateway deals with the same few cells for all its requests, so that owners and holders keep
+/// few connections to each other, however many cells there are.
+fn home_routes(map: &Map, service: &ServiceId, region: &RegionId, me: &InstanceId) -> Vec<Route> {
     let mut cells = map.cells_in(service, region, true);
     if cells.is_empty() {
         cells = map.cells_in(service, region, false);
     }
-    let key = request.to_string();
-    cells.sort_by_cached_key(|cell| std::cmp::Reverse(score(&cell.to_string(), &key)));
+    cells.sort_by_cached_key(|cell| std::cmp::Reverse(score(&cell.to_string(), me.as_str())));
     cells.iter().take(HOME_CELLS).filter_map(|cell| map.route(cell)).collect()
 }
 
--- a/crates/gateway/src/http/chat.rs
+++ b/crates/gateway/src/http/chat.rs
@@ -5,7 +5,7 @@
     exchange::{self},
     intake::{self, Intake, Progress},
     pump::{Pump, Step},
-    reply::{REQUEST_ID, Refused},
+    reply::{REQUEST_ID, Refused, settle},
 };
 use crate::blackboard::Blackboard;
 use codes::Code;
@@ -35,10 +35,8 @@
     http: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
-    match serve(board.get_ref(), engines.get_ref(), &http, payload).await {
-        Ok(response) => response,
-        Err(refused) => refused.respond(&board),
-    }
+    let result = serve(board.get_ref(), engines.get_ref(), &http, payload).await;
+    settle(&board, result)
 }
 
 async fn serve(
--- a/crates/gateway/src/http/plain.rs
+++ b/crates/gateway/src/http/plain.rs
@@ -4,7 +4,7 @@
     Board, Engines,
     exchange::{self, Guard, Running},
     intake::{self, Head, Intake, Progress},
-    reply::{REQUEST_ID, Refused, builder},
+    reply::{REQUEST_ID, Refused, builder, settle},
 };
 use crate::{blackboard::Blackboard, controller::claims::Call as ClaimCall};
 use base64::{Engine as _, engine::general_purpose::STANDARD};
@@ -37,10 +37,8 @@
     http: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
-    match serve(board.get_ref(), engines.get_ref(), &http, payload).await {
-        Ok(response) => response,
-        Err(refused) => refused.respond(&board),
-    }
+    let result = serve(board.get_ref(), engines.get_ref(), &http, payload).await;
+    settle(&board, result)
 }
 
 struct Target {
--- a/crates/gateway/src/http/reply.rs
+++ b/crates/gateway/src/http/reply.rs
@@ -71,6 +71,11 @@
     }
 }
 
+/// Response of a handler: its answer, or its refusal.
+pub fn settle(board: &Blackboard, result: Result<HttpResponse, Refused>) -> HttpResponse {
+    result.unwrap_or_else(|refused| refused.respond(board))
+}
+
 /// Spreads retries, so that those refused together do not return together.
 fn jittered(seconds: u32) -> u32 {
     seconds + rand::rng().random_range(0..=seconds.min(5))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -7,7 +7,11 @@
     call::{self, ask, chat, is_whole},
 };
 use load::{Mix, Outcome, Plan, Verdict, drive};
-use std::time::Duration;
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
 
 /// Length of a run.
 const SPAN: Duration = Duration::from_secs(8);
@@ -163,3 +167,32 @@
     guild.gateways[0].process.signal(Signal::Terminate).unwrap();
     assert_eq!(guild.gateways[0].process.wait(Duration::from_secs(20)).unwrap(), Some(0));
 }
+
+/// Sends a request by hand and closes the connection once `read` bytes of the answer were read.
+fn leave_early(gateway: std::net::SocketAddr, body: &str, read: usize) {
+    let mut stream = TcpStream::connect(gateway).unwrap();
+    let head = format!(
+        "POST {} HTTP/1.1\r\nhost: x\r\nbamboo-organisation: surat\r\ncontent-length: {}\r\n\r\n",
+        call::CHAT,
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(body.as_bytes()).unwrap();
+    let mut answer = vec![0; read];
+    stream.read_exact(&mut answer).unwrap();
+}
+
+#[ntex::test]
+async fn a_caller_that_goes_away_costs_its_endpoint_nothing_more() {
+    let guild = Guild::start(Shape::new(1)).await.unwrap();
+    let client = Client::new().await.unwrap();
+    leave_early(guild.gateways[0].callers, &chat("gone", 2000), 600);
+    let cancelled = async || {
+        let stats = guild.stats(&client).await.unwrap();
+        stats.as_object().unwrap().values().any(|e| e["cancelled"].as_u64() > Some(0))
+    };
+    call::eventually("the endpoint cancels", Duration::from_secs(20), cancelled).await;
+    let status = guild.status(&client, 0).await.unwrap();
+    assert_eq!(status["desk"]["in_use"], 0, "{status}");
+    assert_eq!(status["in_progress"], 0, "{status}");
+}
