--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -108,6 +108,10 @@
     UnknownOperation = 1006, 404, Never, 0, "Unknown operation";
     /// The body did not arrive within the gateway's `limits.body_timeout_ms`.
     SlowSender = 1007, 408, Never, 0, "Body not received in time";
+    /// No route of the configuration in force takes the host and path.
+    UnknownRoute = 1008, 404, Never, 0, "Unknown route";
+    /// No organisation holds the key that the request carries.
+    UnknownKey = 1009, 401, Never, 0, "Unknown key";
     /// The queue is full; lower tiers are shed before higher ones.
     QueueFull = 2001, 503, Never, 1, "Shed: queue full";
     /// The deadline would pass before an answer; nothing was sent.
@@ -120,6 +124,8 @@
     NoEndpoint = 2005, 503, Never, 2, "No live endpoint";
     /// The gateway holds as many requests as its `limits.requests` allows.
     TooManyRequests = 2006, 503, Never, 1, "Gateway at its request limit";
+    /// The organisation has used its allotment over all nodes.
+    AllotmentSpent = 2007, 429, Never, 1, "Allotment spent";
     /// The claim table cannot be reached, so a non-idempotent request is not run.
     ClaimUnavailable = 3001, 503, Never, 5, "Idempotency claim unavailable";
     /// An earlier attempt with this key is running or its outcome was lost; it is not run again.
@@ -128,6 +134,8 @@
     KeyReused = 3003, 422, Never, 0, "Idempotency key reused for another request";
     /// The request crashed endpoints before and is quarantined for a while.
     Quarantined = 3004, 403, Never, 60, "Request quarantined";
+    /// Endpoints crashed under the same request before; it is not sent again for a while.
+    Crashing = 3005, 503, Never, 60, "Request crashes endpoints";
     /// No connection to the granted endpoint could be made; no byte was sent.
     Unreachable = 4001, 502, Never, 1, "Endpoint unreachable";
     /// The connection ended before the answer was whole.
--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -54,6 +54,10 @@
     Resumed = 204;
     /// A refused connection; the request returned to the queue, since no byte had left.
     Requeued = 205;
+    /// An endpoint gave no answer that can be passed on: failure, attempts so far.
+    AttemptFailed = 206;
+    /// The caller left before its answer was complete.
+    CallerLeft = 207;
     /// An endpoint lost window: straggling, queueing or unreachable.
     WindowCut = 300;
     /// An endpoint answers in time again.
@@ -80,14 +84,22 @@
     StrangerRefused = 404;
     /// Certificates were reloaded from their files.
     CertificatesReloaded = 405;
+    /// A datagram without a valid code of authenticity was dropped.
+    DatagramRefused = 406;
     /// A configuration version came into force.
     ConfigInForce = 500;
     /// An older or corrupt configuration was ignored.
     ConfigIgnored = 501;
+    /// The settings file was read again.
+    SettingsReloaded = 502;
+    /// An entry of the directory could not be read and names no endpoint.
+    EntryIgnored = 503;
     /// The platform's store does not answer.
     StoreDown = 510;
     /// The platform's store answers again.
     StoreUp = 511;
+    /// The store's history did not reach back far enough; the table is read whole.
+    HistoryLost = 512;
     /// A request was marked as suspect after an endpoint failed under it.
     Strike = 520;
     /// A request was quarantined.
--- /dev/null
+++ b/crates/relay/src/caller.rs
@@ -0,0 +1,32 @@
+//! What a caller's request says of itself.
+
+use std::time::Duration;
+use units::Tokens;
+
+/// Headers of a caller's request, decoded.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Head {
+    /// Identifier of this attempt, chosen by the caller.
+    pub attempt: Box<str>,
+    /// Secret that names the organisation.
+    pub key: Option<Box<str>>,
+    /// Time for which the caller will wait.
+    pub patience: Option<Duration>,
+    /// Prompt length.
+    pub prompt: Option<Tokens>,
+    /// Longest answer.
+    pub output: Option<Tokens>,
+    /// Last event that the caller has, when it continues a stream.
+    pub resume_after: Option<u64>,
+}
+
+impl Head {
+    /// Tokens that the request counts against its organisation's allotment.
+    #[must_use]
+    pub fn cost(&self, plain: Tokens) -> Tokens {
+        match (self.prompt, self.output) {
+            (None, None) => plain,
+            (prompt, output) => Tokens(prompt.unwrap_or_default().0 + output.unwrap_or_default().0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/catalog.rs
@@ -0,0 +1,187 @@
+//! Configuration in force: routes, organisations, limits.
+
+use sched::quota::Allotment;
+use std::{collections::HashMap, rc::Rc, time::Duration};
+use units::{Bytes, OrganisationId, Rank, ServiceId, Tokens, Version};
+
+/// What may be repeated on a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Requests that may run more than once.
+    Idempotent,
+    /// Requests that may run once at most.
+    Once,
+    /// Streams that run once at most.
+    Stream,
+    /// Streams that may be continued at another endpoint.
+    ResumableStream,
+}
+
+impl Kind {
+    /// Whether a request may run more than once.
+    #[must_use]
+    pub const fn is_repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+
+    /// Whether answers are streams of events.
+    #[must_use]
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
+/// Service behind a route, with its part of the route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Backend {
+    /// Service.
+    pub service: ServiceId,
+    /// Weight among the route's services.
+    pub weight: u32,
+}
+
+/// Route of requests to services.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Name, for logs.
+    pub name: Box<str>,
+    /// Beginning of the paths that it takes.
+    pub prefix: Box<str>,
+    /// Services that it leads to.
+    pub backends: Box<[Backend]>,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time to the end of an answer.
+    pub timeout: Option<Duration>,
+    /// Time to the first answer within which it is of full use.
+    pub target: Option<Duration>,
+    /// Endpoints that one request may be sent to.
+    pub attempts: u32,
+    /// Tier.
+    pub rank: Rank,
+    /// Whether it takes requests without a key.
+    pub anonymous: bool,
+}
+
+impl Route {
+    /// Service for a request, drawn by weight with `draw` out of all numbers.
+    #[must_use]
+    pub fn backend(&self, draw: u64) -> Option<&ServiceId> {
+        let total: u64 = self.backends.iter().map(|b| u64::from(b.weight)).sum();
+        if total == 0 {
+            return self.backends.first().map(|backend| &backend.service);
+        }
+        let mut left = draw % total;
+        for backend in &self.backends {
+            let weight = u64::from(backend.weight);
+            if left < weight {
+                return Some(&backend.service);
+            }
+            left -= weight;
+        }
+        None
+    }
+}
+
+/// Organisation and its allotment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Organisation {
+    /// Organisation.
+    pub id: OrganisationId,
+    /// Tier of its requests, before the route's.
+    pub rank: Option<Rank>,
+    /// Allotment over all nodes.
+    pub allotment: Allotment,
+    /// Cost of a request that states no tokens.
+    pub plain: Tokens,
+}
+
+/// Bounds on what a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest body.
+    pub body: Bytes,
+    /// Time for a request's headers, and for its body.
+    pub header_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { body: Bytes(4 << 20), header_timeout: Duration::from_secs(10) }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Catalog {
+    /// Version; a larger one is newer.
+    pub version: Version,
+    /// Routes by host, longest prefix first.
+    routes: HashMap<Box<str>, Vec<Rc<Route>>>,
+    /// Organisations by key.
+    keys: HashMap<Box<str>, Rc<Organisation>>,
+    /// Organisations by name.
+    organisations: HashMap<OrganisationId, Rc<Organisation>>,
+    /// Bounds on what a caller may send.
+    pub limits: Limits,
+}
+
+impl Catalog {
+    /// Empty configuration.
+    #[must_use]
+    pub fn new(version: Version, limits: Limits) -> Self {
+        Self { version, limits, ..Self::default() }
+    }
+
+    /// Adds a route of a host.
+    #[must_use]
+    pub fn with_route(mut self, host: &str, route: Route) -> Self {
+        let routes = self.routes.entry(host.to_ascii_lowercase().into()).or_default();
+        let at = routes.partition_point(|known| known.prefix.len() >= route.prefix.len());
+        routes.insert(at, Rc::new(route));
+        self
+    }
+
+    /// Adds an organisation with its keys.
+    #[must_use]
+    pub fn with_organisation(mut self, organisation: Organisation, keys: &[Box<str>]) -> Self {
+        let organisation = Rc::new(organisation);
+        for key in keys {
+            self.keys.insert(key.clone(), Rc::clone(&organisation));
+        }
+        self.organisations.insert(organisation.id.clone(), organisation);
+        self
+    }
+
+    /// Route of a request: the longest prefix of the host that begins the path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.routes.get(host.as_str())?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Organisation that holds a key.
+    #[must_use]
+    pub fn holder(&self, key: &str) -> Option<&Rc<Organisation>> {
+        self.keys.get(key)
+    }
+
+    /// Allotment of an organisation.
+    #[must_use]
+    pub fn allotment(&self, id: &OrganisationId) -> Option<Allotment> {
+        self.organisations.get(id).map(|organisation| organisation.allotment)
+    }
+
+    /// Number of routes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+
+    /// Whether there is no route.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/desk.rs
@@ -0,0 +1,321 @@
+//! Where requests wait until an endpoint has room.
+//!
+//! The desk joins the pure decisions to the tasks that wait: it keeps a
+//! [`Line`] for each service, places requests by [`sched::fleet`], and hands a
+//! [`Flight`] to the task whose turn it is. A flight that is dropped gives its
+//! slot back and lets the next request go.
+
+use crate::{board::Board, caller};
+use codes::Code;
+use sched::{
+    Bid,
+    fleet::{Ask, Choice, Demand, Gauge, Outcome},
+    line::{Line, Terms},
+};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::sync::{Notify, oneshot};
+use units::{
+    EndpointId, Fingerprint, InstanceId, OrganisationId, Rank, RequestId, ServiceId, Time, Tokens,
+};
+
+/// Requests that may wait for one service.
+const MAX_WAITING: usize = 512;
+/// Interval at which waiting requests are looked at without an event, in ms.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Request that looks for an endpoint.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    /// Request.
+    pub request: RequestId,
+    /// Service.
+    pub service: ServiceId,
+    /// Tier.
+    pub rank: Rank,
+    /// Organisation whose turn it takes.
+    pub organisation: OrganisationId,
+    /// Size.
+    pub demand: Demand,
+    /// Longest answer.
+    pub output: Tokens,
+    /// Times that bound the wait.
+    pub terms: Terms,
+    /// Hash of the request.
+    pub fingerprint: Fingerprint,
+}
+
+impl Wanted {
+    /// Size of a request out of its headers.
+    #[must_use]
+    pub fn demand(head: &caller::Head) -> Demand {
+        Demand { prompt: head.prompt.unwrap_or_default() }
+    }
+
+    fn bid(&self, holder: &InstanceId) -> Bid {
+        Bid {
+            request: self.request,
+            holder: holder.clone(),
+            rank: self.rank,
+            organisation: self.organisation.clone(),
+            prompt: self.demand.prompt,
+            output: self.output,
+            deadline: self.terms.deadline,
+            prefixes: Box::default(),
+            fingerprint: self.fingerprint,
+            suspect: false,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Verdict {
+    Run(Flight),
+    Refuse(Code),
+}
+
+#[derive(Debug)]
+struct Waiter {
+    reply: oneshot::Sender<Verdict>,
+    avoid: Box<[EndpointId]>,
+}
+
+/// Waiting requests of a node.
+#[derive(Debug)]
+pub struct Desk {
+    me: InstanceId,
+    lines: HashMap<ServiceId, Line>,
+    waiters: HashMap<RequestId, Waiter>,
+    arrived: Rc<Notify>,
+}
+
+impl Desk {
+    /// Desk without requests.
+    #[must_use]
+    pub fn new(me: InstanceId) -> Self {
+        Self { me, lines: HashMap::new(), waiters: HashMap::new(), arrived: Rc::default() }
+    }
+
+    /// Requests waiting.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiters.len()
+    }
+
+    fn services(&self) -> Vec<ServiceId> {
+        let busy = self.lines.iter().filter(|(_, line)| !line.is_empty());
+        busy.map(|(service, _)| service.clone()).collect()
+    }
+}
+
+/// Slot at an endpoint, held while a request runs there.
+#[derive(Debug)]
+pub struct Flight {
+    board: Rc<Board>,
+    service: ServiceId,
+    demand: Demand,
+    outcome: Outcome,
+    read: bool,
+    last: Time,
+    /// Where the request goes.
+    pub choice: Choice,
+    /// When the slot was taken.
+    pub since: Time,
+}
+
+impl Flight {
+    /// Endpoint.
+    #[must_use]
+    pub fn endpoint(&self) -> &EndpointId {
+        &self.choice.endpoint
+    }
+
+    /// Address of the endpoint.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.choice.address
+    }
+
+    /// Takes over the load that came with an answer.
+    pub fn gauge(&self, gauge: Option<Gauge>) {
+        if let Some(gauge) = gauge {
+            let now = self.board.now();
+            self.board.fleet.borrow_mut().gauge(self.endpoint(), gauge, now);
+        }
+    }
+
+    /// Notes events, or the whole answer of a plain call.
+    pub fn heard(&mut self, events: u32) {
+        let now = self.board.now();
+        let mut fleet = self.board.fleet.borrow_mut();
+        if self.read {
+            let pause = now.since(self.last) / events.max(1);
+            fleet.pause(&self.choice.endpoint, pause);
+        } else {
+            self.read = true;
+            fleet.first(&self.choice.endpoint, self.demand);
+        }
+        self.last = now;
+    }
+
+    /// Whether an event has come.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.read
+    }
+
+    /// Ends the flight.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let now = self.board.now();
+        let endpoint = &self.choice.endpoint;
+        let mut fleet = self.board.fleet.borrow_mut();
+        fleet.end(endpoint, self.demand, self.read, self.outcome, now);
+        drop(fleet);
+        pump(&self.board, &self.service);
+    }
+}
+
+/// Takes a request out of its line when its task ends before its turn.
+struct Place<'a> {
+    board: &'a Board,
+    service: &'a ServiceId,
+    request: RequestId,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let mut desk = self.board.desk.borrow_mut();
+        if desk.waiters.remove(&self.request).is_some()
+            && let Some(line) = desk.lines.get_mut(self.service)
+        {
+            line.remove(self.request);
+        }
+    }
+}
+
+/// Waits for an endpoint with room.
+///
+/// # Errors
+/// Why the request is refused; it has not been sent.
+pub async fn place(
+    board: &Rc<Board>,
+    wanted: &Wanted,
+    avoid: &[EndpointId],
+) -> Result<Flight, Code> {
+    let (reply, verdict) = oneshot::channel();
+    let refused = enqueue(board, wanted, Waiter { reply, avoid: avoid.into() });
+    let _place = Place { board, service: &wanted.service, request: wanted.request };
+    refuse(refused);
+    pump(board, &wanted.service);
+    match verdict.await {
+        Ok(Verdict::Run(flight)) => Ok(flight),
+        Ok(Verdict::Refuse(code)) => Err(code),
+        Err(_) => Err(Code::Draining),
+    }
+}
+
+type Refusals = Vec<(oneshot::Sender<Verdict>, Code)>;
+
+fn enqueue(board: &Board, wanted: &Wanted, waiter: Waiter) -> Refusals {
+    let now = board.now();
+    let mut desk = board.desk.borrow_mut();
+    let bid = wanted.bid(&desk.me);
+    desk.waiters.insert(wanted.request, waiter);
+    let line = desk.lines.entry(wanted.service.clone()).or_default();
+    line.push(bid, wanted.terms, now);
+    let mut refused = Vec::new();
+    if line.len() > MAX_WAITING
+        && let Some(victim) = line.victim().map(|bid| bid.request)
+    {
+        line.remove(victim);
+        let waiter = desk.waiters.remove(&victim);
+        refused.extend(waiter.map(|waiter| (waiter.reply, Code::QueueFull)));
+    }
+    desk.arrived.notify_one();
+    refused
+}
+
+/// Tells waiting tasks of their refusal; a task that is gone needs no answer.
+fn refuse(refused: Refusals) {
+    for (reply, code) in refused {
+        reply.send(Verdict::Refuse(code)).ok();
+    }
+}
+
+/// Places as many waiting requests of a service as there is room for.
+pub fn pump(board: &Rc<Board>, service: &ServiceId) {
+    // A task that is gone drops its flight here, after the borrows have ended.
+    while let Some((reply, flight)) = next(board, service) {
+        reply.send(Verdict::Run(flight)).ok();
+    }
+}
+
+/// Places waiting requests of all services.
+pub fn pump_all(board: &Rc<Board>) {
+    let services = board.desk.borrow().services();
+    for service in services {
+        pump(board, &service);
+    }
+}
+
+fn next(board: &Rc<Board>, service: &ServiceId) -> Option<(oneshot::Sender<Verdict>, Flight)> {
+    let now = board.now();
+    let mut desk = board.desk.borrow_mut();
+    let desk = &mut *desk;
+    let mut fleet = board.fleet.borrow_mut();
+    let line = desk.lines.get_mut(service)?;
+    line.demote(now);
+    let waiters = &desk.waiters;
+    let (bid, choice) = line.next(|bid| {
+        let avoid = waiters.get(&bid.request).map_or(&[][..], |waiter| &waiter.avoid);
+        let demand = Demand { prompt: bid.prompt };
+        fleet.pick(&Ask { service, demand, avoid }, now)
+    })?;
+    let waiter = desk.waiters.remove(&bid.request)?;
+    let demand = Demand { prompt: bid.prompt };
+    fleet.begin(&choice.endpoint, demand);
+    let flight = Flight {
+        board: Rc::clone(board),
+        service: service.clone(),
+        demand,
+        outcome: Outcome::Dropped,
+        read: false,
+        last: now,
+        choice,
+        since: now,
+    };
+    Some((waiter.reply, flight))
+}
+
+/// Gives up requests whose time is over, and tries again for the others.
+pub async fn tick(board: Rc<Board>) {
+    let arrived = Rc::clone(&board.desk.borrow().arrived);
+    loop {
+        if board.desk.borrow().waiting() == 0 {
+            arrived.notified().await;
+        }
+        tokio::time::sleep(TICK).await;
+        refuse(expire(&board));
+        pump_all(&board);
+    }
+}
+
+fn expire(board: &Board) -> Refusals {
+    let now = board.now();
+    let mut desk = board.desk.borrow_mut();
+    let desk = &mut *desk;
+    let mut refused = Vec::new();
+    for line in desk.lines.values_mut() {
+        line.demote(now);
+        for bid in line.expire(now) {
+            let waiter = desk.waiters.remove(&bid.request);
+            refused.extend(waiter.map(|waiter| (waiter.reply, Code::DeadlineUnmeetable)));
+        }
+    }
+    refused
+}
--- /dev/null
+++ b/crates/relay/src/dialect.rs
@@ -0,0 +1,38 @@
+//! Port to the headers of a deployment.
+
+use crate::{answer, caller};
+use http::{HeaderMap, StatusCode};
+use std::time::Duration;
+use units::{EndpointId, OrganisationId};
+
+/// What a node states to an endpoint beside the caller's headers.
+#[derive(Debug, Clone, Copy)]
+pub struct Stamp<'a> {
+    /// Endpoint that is meant.
+    pub endpoint: &'a EndpointId,
+    /// Organisation that the request belongs to.
+    pub organisation: Option<&'a OrganisationId>,
+    /// Time that is left.
+    pub left: Duration,
+    /// Last event that the caller has, when a stream is continued.
+    pub resume_after: Option<u64>,
+}
+
+/// Translation of headers.
+pub trait Dialect: std::fmt::Debug {
+    /// Decodes a caller's headers.
+    ///
+    /// # Errors
+    /// Name of the header that is missing or malformed.
+    fn caller(&self, headers: &HeaderMap) -> Result<caller::Head, Box<str>>;
+
+    /// Turns a caller's headers into those for an endpoint: what only the system may set is
+    /// removed, what it states is added.
+    fn outbound(&self, headers: &mut HeaderMap, stamp: &Stamp<'_>);
+
+    /// Decodes an endpoint's headers.
+    fn answer(&self, status: StatusCode, headers: &HeaderMap) -> answer::Head;
+
+    /// Adds to a refusal what names the attempt that it answers.
+    fn refusal(&self, headers: &mut HeaderMap, attempt: &str);
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,43 @@
+//! Data path of a node: callers' requests in, endpoints' answers out.
+//!
+//! One process, one thread. Everything that a task reads or writes lies on
+//! the [`board`]; no lock is held across an await, since none is needed.
+//!
+//! * [`serve`] accepts callers' connections and hands each request to
+//!   [`exchange`], which takes it from its checks to its last byte.
+//! * [`desk`] lets requests wait and places them; its decisions are those of
+//!   the pure modules `sched::{line, fleet, quota, budget, strike}`.
+//! * [`pool`] keeps connections to endpoints; [`stream`] passes events on and
+//!   continues a broken stream at another endpoint where that is allowed.
+//! * [`watch`] follows the store's tables; [`peers`] tells the other nodes
+//!   what this one has in flight.
+//!
+//! The crate names no header, path or document of any deployment. A
+//! [`dialect::Dialect`] translates headers and a [`watch::Table`] reads the
+//! store; both come from an adapter.
+//!
+//! Invariants:
+//! * a request that may run once leaves for a second endpoint only when the
+//!   first is known not to have run it;
+//! * a refusal that promises "not run" is sent only while nothing has left, or
+//!   after an endpoint said that it did not run the request;
+//! * only whole events are passed on, in order, each once.
+
+pub mod answer;
+pub mod board;
+pub mod caller;
+pub mod catalog;
+pub mod desk;
+pub mod dialect;
+pub mod events;
+pub mod exchange;
+pub mod life;
+pub mod metrics;
+pub mod peers;
+pub mod pool;
+pub mod serve;
+pub mod settings;
+pub mod stream;
+pub mod watch;
+
+pub use self::{board::Board, catalog::Catalog, dialect::Dialect, settings::Settings};
--- /dev/null
+++ b/crates/relay/src/life.rs
@@ -0,0 +1,132 @@
+//! Start, reload and end of a node.
+//!
+//! At the signal to stop, the node says at once that it is not ready, and goes
+//! on answering whoever still comes, asking callers to leave their
+//! connections. Once the balancer has had time to look, idle connections are
+//! closed; the process ends with its last answer, or just before it would be
+//! killed.
+
+use crate::{
+    board::{Board, Phase},
+    desk, peers, serve,
+    watch::{self, Store},
+};
+use anyhow::Result;
+use codes::Event;
+use slog::{info, warn};
+use std::{rc::Rc, time::Duration};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::{SignalKind, signal},
+    task::spawn_local,
+};
+
+/// Time for the balancer to see that the node is not ready: three of its rounds.
+const ROTATION: Duration = Duration::from_millis(3_000);
+/// Time kept back from the grace period for the last bytes to leave.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Interval at which the end of the last answer is looked for.
+const DRAIN_TICK: Duration = Duration::from_millis(50);
+/// Interval of upkeep: idle connections, strikes.
+const UPKEEP: Duration = Duration::from_secs(1);
+/// Interval at which the settings file is looked at without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(5);
+
+/// Sockets of a node.
+#[derive(Debug)]
+struct Sockets {
+    callers: TcpListener,
+    readiness: TcpListener,
+    metrics: TcpListener,
+    peers: UdpSocket,
+}
+
+async fn bind(board: &Board) -> Result<Sockets> {
+    let listen = board.settings.listen;
+    Ok(Sockets {
+        callers: serve::bind(listen.callers)?,
+        readiness: serve::bind(listen.readiness)?,
+        metrics: serve::bind(listen.metrics)?,
+        peers: UdpSocket::bind(listen.peers).await?,
+    })
+}
+
+/// Runs a node until it is told to stop; call it within a `LocalSet`.
+///
+/// `changed` reads the settings file again and says whether it differs from what is in force.
+///
+/// # Errors
+/// An address that cannot be bound, or signals that cannot be received.
+pub async fn run<S: Store + 'static>(
+    board: Rc<Board>,
+    store: Rc<S>,
+    changed: impl Fn() -> Result<bool> + 'static,
+) -> Result<()> {
+    let sockets = bind(&board).await?;
+    let listen = board.settings.listen;
+    info!(board.log, "started"; Event::Started, "callers" => %listen.callers,
+        "readiness" => %listen.readiness, "metrics" => %listen.metrics, "peers" => %listen.peers);
+    spawn_local(serve::callers(Rc::clone(&board), sockets.callers));
+    spawn_local(serve::readiness(Rc::clone(&board), sockets.readiness));
+    spawn_local(serve::metrics(Rc::clone(&board), sockets.metrics));
+    spawn_local(desk::tick(Rc::clone(&board)));
+    spawn_local(upkeep(Rc::clone(&board)));
+    spawn_local(watch::configuration(Rc::clone(&board), Rc::clone(&store)));
+    spawn_local(watch::endpoints(Rc::clone(&board), Rc::clone(&store)));
+    let socket = Rc::new(sockets.peers);
+    spawn_local(peers::discover(Rc::clone(&board), Rc::clone(&store)));
+    spawn_local(peers::listen(Rc::clone(&board), Rc::clone(&socket)));
+    spawn_local(peers::speak(Rc::clone(&board), Rc::clone(&socket)));
+    spawn_local(reload(Rc::clone(&board), changed));
+    signal(SignalKind::terminate())?.recv().await;
+    drain(&board, &socket).await;
+    info!(board.log, "stopped"; Event::Stopped, "in_progress" => board.in_progress.get());
+    Ok(())
+}
+
+async fn drain(board: &Board, socket: &UdpSocket) {
+    let begun = board.now();
+    board.enter(Phase::Draining);
+    info!(board.log, "draining"; Event::Draining, "in_progress" => board.in_progress.get());
+    let last = board.settings.grace.saturating_sub(GRACE_MARGIN);
+    loop {
+        tokio::time::sleep(DRAIN_TICK).await;
+        let passed = board.now().since(begun);
+        if passed >= ROTATION && board.phase() == Phase::Draining {
+            board.enter(Phase::Closing);
+        }
+        let done = board.phase() == Phase::Closing && board.in_progress.get() == 0;
+        if done || passed >= last {
+            break;
+        }
+    }
+    peers::leave(board, socket).await;
+}
+
+async fn upkeep(board: Rc<Board>) {
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        let now = board.now();
+        board.pool.prune(now);
+        board.ledger.borrow_mut().prune(now);
+    }
+}
+
+/// Looks at the settings file at each signal and at intervals.
+async fn reload(board: Rc<Board>, changed: impl Fn() -> Result<bool>) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(e) => return warn!(board.log, "no reload signal"; "error" => %e),
+    };
+    loop {
+        // Without the signal the file is looked at all the same.
+        let signalled = tokio::time::timeout(SETTINGS_CHECK, hangups.recv()).await.is_ok();
+        match changed() {
+            Ok(changed) if changed || signalled => info!(board.log, "settings read";
+                Event::SettingsReloaded, "signalled" => signalled, "changed" => changed),
+            Ok(_) => {}
+            Err(e) => warn!(board.log, "settings not taken over"; Event::SettingsReloaded,
+                "signalled" => signalled, "error" => format!("{e:#}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,140 @@
+//! Counters and latency histograms, served as text.
+//!
+//! `cadence` formats each metric; the sink here sums them up in place of
+//! sending them, so that a reader may come at any interval.
+
+use cadence::{Counted, Gauged, MetricSink, StatsdClient, Timed};
+use hdrhistogram::Histogram;
+use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+/// Prefix of every metric.
+const PREFIX: &str = "bambooroad.relay";
+/// Longest duration that a histogram tells from longer ones, in ms.
+const MAX_MS: u64 = 60_000;
+/// Significant digits of a histogram.
+const DIGITS: u8 = 1;
+/// Quantiles that are printed.
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+
+#[derive(Debug, Default)]
+struct Sums {
+    counters: BTreeMap<Box<str>, u64>,
+    levels: BTreeMap<Box<str>, u64>,
+    times: BTreeMap<Box<str>, Histogram<u32>>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Sink {
+    sums: Arc<Mutex<Sums>>,
+}
+
+impl MetricSink for Sink {
+    fn emit(&self, metric: &str) -> std::io::Result<usize> {
+        let mut sums = self.sums.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(sample) = Sample::parse(metric) {
+            sums.add(&sample);
+        }
+        Ok(metric.len())
+    }
+}
+
+struct Sample<'a> {
+    name: Box<str>,
+    value: u64,
+    kind: &'a str,
+}
+
+impl<'a> Sample<'a> {
+    /// Reads `name:value|kind|#tag:value`.
+    fn parse(metric: &'a str) -> Option<Self> {
+        let (name, rest) = metric.split_once(':')?;
+        let mut fields = rest.split('|');
+        let value = fields.next()?.parse().ok()?;
+        let kind = fields.next()?;
+        let name = match fields.next().and_then(|tags| tags.strip_prefix("#kind:")) {
+            Some(tag) => format!("{name}{{kind=\"{tag}\"}}").into(),
+            None => name.into(),
+        };
+        Some(Self { name, value, kind })
+    }
+}
+
+impl Sums {
+    fn add(&mut self, sample: &Sample<'_>) {
+        let name = sample.name.clone();
+        match sample.kind {
+            "c" => *self.counters.entry(name).or_default() += sample.value,
+            "g" => {
+                self.levels.insert(name, sample.value);
+            }
+            _ => {
+                let times = self.times.entry(name).or_insert_with(|| {
+                    Histogram::new_with_max(MAX_MS, DIGITS).expect("the bounds are valid")
+                });
+                times.saturating_record(sample.value);
+            }
+        }
+    }
+}
+
+/// Metrics of a node.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+    sink: Sink,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics that are all zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let sink = Sink::default();
+        Self { client: StatsdClient::from_sink(PREFIX, sink.clone()), sink }
+    }
+
+    /// Counts one occurrence.
+    pub fn count(&self, name: &str, tag: &str) {
+        self.client.count_with_tags(name, 1).with_tag("kind", tag).send();
+    }
+
+    /// Sets a level.
+    pub fn level(&self, name: &str, value: u64) {
+        // The sink of this client takes every metric.
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Records a duration.
+    pub fn time(&self, name: &str, span: Duration) {
+        // The sink of this client takes every metric.
+        let _ = self.client.time(name, span);
+    }
+
+    /// Page of all metrics.
+    #[must_use]
+    pub fn page(&self) -> String {
+        let sums = self.sink.sums.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut page = String::new();
+        for (name, value) in sums.counters.iter().chain(&sums.levels) {
+            let _ = writeln!(page, "{name} {value}");
+        }
+        for (name, times) in &sums.times {
+            let _ = writeln!(page, "{name}_count {}", times.len());
+            for quantile in QUANTILES {
+                let value = times.value_at_quantile(quantile);
+                let _ = writeln!(page, "{name}_ms{{quantile=\"{quantile}\"}} {value}");
+            }
+        }
+        page
+    }
+}
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,162 @@
+//! Connections to endpoints.
+//!
+//! A connection serves one request at a time. It returns to the pool once its
+//! answer is whole, and waits there for [`SETTLE`] before it is used again:
+//! bytes that come in that time belong to no request and end it.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
+use tokio::net::TcpStream;
+use units::Time;
+
+/// Time for a connection to be made; twice the round trip to the farthest region and a lost packet.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Idle time after which the kernel asks whether the other side lives.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Time between such questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Questions without an answer after which a connection is dead.
+const KEEPALIVE_RETRIES: u32 = 2;
+/// Time for which sent bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time that a connection waits after an answer, for bytes that belong to no request.
+const SETTLE: Duration = Duration::from_millis(8);
+/// Idle time of a connection whose endpoint states none.
+const IDLE_DEFAULT: Duration = Duration::from_secs(4);
+/// Part of the stated idle time that is used, so that both sides do not race.
+const IDLE_MARGIN: Duration = Duration::from_millis(800);
+/// Idle time after which a connection is not trusted with a request that may run only once.
+const IDLE_TRUSTED: Duration = Duration::from_millis(700);
+/// Most idle connections to one endpoint.
+const MAX_IDLE: usize = 32;
+
+/// Body of a request to an endpoint.
+pub type Body = Full<Bytes>;
+
+/// Connection that is in use.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sender of requests.
+    pub sender: SendRequest<Body>,
+    /// Whether it has carried a request before.
+    pub kept: bool,
+    address: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Body>,
+    since: Time,
+    until: Time,
+}
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Empty pool.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Idle connection, or a new one. `trusted` takes only a connection that was used just now.
+    ///
+    /// # Errors
+    /// No connection could be made.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        trusted: bool,
+        now: Time,
+    ) -> io::Result<Connection> {
+        if let Some(sender) = self.take_idle(address, trusted, now) {
+            return Ok(Connection { sender, kept: true, address });
+        }
+        let sender = open(address).await?;
+        Ok(Connection { sender, kept: false, address })
+    }
+
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        trusted: bool,
+        now: Time,
+    ) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.borrow_mut();
+        let waiting = idle.get_mut(&address)?;
+        waiting.retain(|idle| now < idle.until && !idle.sender.is_closed());
+        let usable = |idle: &Idle| {
+            let age = now.since(idle.since);
+            idle.sender.is_ready() && age >= SETTLE && !(trusted && age > IDLE_TRUSTED)
+        };
+        let at = waiting.iter().rposition(usable)?;
+        Some(waiting.remove(at).sender)
+    }
+
+    /// Takes back a connection whose answer was whole.
+    pub fn put(&self, connection: Connection, keep_alive: Option<Duration>, now: Time) {
+        let kept_for = keep_alive.map_or(IDLE_DEFAULT, |span| span.saturating_sub(IDLE_MARGIN));
+        let mut idle = self.idle.borrow_mut();
+        let waiting = idle.entry(connection.address).or_default();
+        if waiting.len() < MAX_IDLE && !kept_for.is_zero() {
+            let until = now + kept_for;
+            waiting.push(Idle { sender: connection.sender, since: now, until });
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn prune(&self, now: Time) {
+        self.idle.borrow_mut().retain(|_, waiting| {
+            waiting.retain(|idle| now < idle.until && !idle.sender.is_closed());
+            !waiting.is_empty()
+        });
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn drop_address(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+}
+
+/// Makes a socket notice a silent other side.
+///
+/// # Errors
+/// The socket does not take the options.
+pub fn watch_silence(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+/// Makes a connection.
+///
+/// # Errors
+/// Refused, unreachable or not in time.
+pub async fn open(address: SocketAddr) -> io::Result<SendRequest<Body>> {
+    let connecting = TcpStream::connect(address);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time"))??;
+    stream.set_nodelay(true)?;
+    watch_silence(&stream)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(64 * 1024)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    // The error of a connection reaches the request on it; an idle one is only dropped.
+    tokio::task::spawn_local(async move { connection.await.ok() });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/relay/src/serve.rs
@@ -0,0 +1,172 @@
+//! Callers' connections, and the pages for operators.
+
+use crate::{
+    board::{Board, Phase},
+    exchange,
+};
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use codes::Event;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{info, warn};
+use socket2::{Domain, Socket, Type};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+/// Largest head of a request, in bytes; above what any configuration allows.
+const MAX_HEAD: usize = 64 * 1024;
+/// Time for a head to arrive once its connection is open or the answer before it has ended.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
+/// Pause after connections could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Part of the descriptors that callers' connections may take.
+const CALLER_PART: u32 = 2;
+
+/// Listener at an address.
+///
+/// # Errors
+/// The address cannot be bound.
+pub fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listen = || -> std::io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    };
+    listen().with_context(|| format!("binding {address}"))
+}
+
+/// Accepts callers until the process ends.
+pub async fn callers(board: Rc<Board>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0_u32));
+    let most = board.settings.descriptors / CALLER_PART;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if open.get() < most => {
+                let guard = Opened::new(&open);
+                let board = Rc::clone(&board);
+                tokio::task::spawn_local(async move {
+                    caller(board, stream).await;
+                    drop(guard);
+                });
+            }
+            Ok(_) => board.metrics.count("connections", "refused"),
+            Err(e) => {
+                warn!(board.log, "accept failed"; "error" => %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts an open connection while it lives.
+struct Opened(Rc<Cell<u32>>);
+
+impl Opened {
+    fn new(open: &Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for Opened {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn caller(board: Rc<Board>, stream: TcpStream) {
+    let prepared = stream.set_nodelay(true).and_then(|()| crate::pool::watch_silence(&stream));
+    if let Err(e) = prepared {
+        info!(board.log, "connection refused its options"; "error" => %e);
+    }
+    let handler = {
+        let board = Rc::clone(&board);
+        service_fn(move |request| exchange::handle(Rc::clone(&board), request))
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(TokioIo::new(stream), handler);
+    let mut connection = std::pin::pin!(connection);
+    let mut phases = board.phases();
+    tokio::select! {
+        // A connection ends when its caller wants; requests on it have their own log lines.
+        result = connection.as_mut() => { result.ok(); }
+        _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await.ok();
+        }
+    }
+}
+
+/// Answers readiness checks until the process ends.
+pub async fn readiness(board: Rc<Board>, listener: TcpListener) {
+    let told = Cell::new(false);
+    page(board, listener, move |board| {
+        let ready = board.is_ready();
+        if told.replace(ready) != ready {
+            info!(board.log, "readiness"; Event::Readiness, "ready" => ready,
+                "phase" => format!("{:?}", board.phase()), "listed" => board.listed.get(),
+                "version" => board.catalog.borrow().as_ref().map(|c| c.version.get()));
+        }
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        (status, String::new())
+    })
+    .await;
+}
+
+/// Serves the metrics until the process ends.
+pub async fn metrics(board: Rc<Board>, listener: TcpListener) {
+    page(board, listener, |board| {
+        let level = |name, value| board.metrics.level(name, value);
+        level("in_progress", board.in_progress.get() as u64);
+        level("waiting", board.desk.borrow().waiting() as u64);
+        level("peers", board.roster.borrow().heard(board.now()) as u64);
+        let version = board.catalog.borrow().as_ref().map_or(0, |c| c.version.get());
+        level("configuration_version", version);
+        (StatusCode::OK, board.metrics.page())
+    })
+    .await;
+}
+
+/// Serves one page, whatever the path.
+async fn page(
+    board: Rc<Board>,
+    listener: TcpListener,
+    render: impl Fn(&Board) -> (StatusCode, String) + 'static,
+) {
+    let render = Rc::new(render);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!(board.log, "accept failed"; "error" => %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let board = Rc::clone(&board);
+        let render = Rc::clone(&render);
+        let handler = service_fn(move |_: Request<Incoming>| {
+            let (status, text) = render(&board);
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            *response.status_mut() = status;
+            async { Ok::<_, Infallible>(response) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), handler);
+        // A reader that leaves early has seen what it wanted.
+        tokio::task::spawn_local(async move { connection.await.ok() });
+    }
+}
--- /dev/null
+++ b/crates/relay/src/watch.rs
@@ -0,0 +1,361 @@
+//! Following the store's tables.
+//!
+//! A table is read whole once and followed by its changes from then on. When
+//! the history does not reach back far enough the table is read whole again.
+//! A page that is older than what was seen before is not taken over. While the
+//! store cannot be reached, everything that was known stays in force.
+//!
+//! Entries of endpoints may lapse while the store is away, and come back
+//! shortly after its return: an entry that goes missing around that time is
+//! used for [`RETURN`] more.
+
+use crate::{board::Board, catalog::Catalog, desk};
+use anyhow::Result;
+use bytes::Bytes;
+use codes::Event;
+use sched::fleet::Listing;
+use slog::{info, warn};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    future::Future,
+    rc::Rc,
+    time::Duration,
+};
+use units::{EndpointId, Time, Version};
+
+/// Time that the store holds back a call for changes of the configuration. A connection that
+/// went silent costs at most this and the timeout beyond it.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(2_000);
+/// Time that the store holds back a call for changes of endpoints.
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(1_000);
+/// Least time between two calls for changes of endpoints; their heartbeats change rows all the
+/// time, and a leaving endpoint must be known well within `drain_ms`.
+const ENDPOINTS_INTERVAL: Duration = Duration::from_millis(700);
+/// First pause after a failed call, doubled each time.
+const BACKOFF_MIN: Duration = Duration::from_millis(150);
+/// Longest pause after a failed call.
+const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Time after the store's return in which lapsed entries come back.
+const RETURN: Duration = Duration::from_millis(2_200);
+
+/// Table of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Table {
+    /// Configuration, written by operators.
+    Configuration,
+    /// Endpoints, written by themselves.
+    Endpoints,
+    /// Nodes, written by themselves.
+    Nodes,
+}
+
+/// Row of a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Key.
+    pub key: Box<str>,
+    /// Value; none when the row was deleted.
+    pub value: Option<Bytes>,
+}
+
+/// Rows as of one moment, or changes up to it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Rows.
+    pub rows: Vec<Row>,
+    /// Newest version of the store.
+    pub version: Version,
+    /// Whether more rows follow the last one.
+    pub more: bool,
+}
+
+/// Why the store gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The changes that were asked for are no longer kept.
+    #[error("history lost")]
+    HistoryLost,
+    /// A condition of a write does not hold.
+    #[error("condition does not hold")]
+    Conflict,
+    /// No answer, or one that cannot be used.
+    #[error("{0}")]
+    Unavailable(Box<str>),
+}
+
+/// Port to the store.
+pub trait Store {
+    /// Rows of a table after a key.
+    fn read(&self, table: Table, after: Option<&str>) -> impl Future<Output = Result<Page, Fault>>;
+
+    /// Changes of a table after a version, once there are any or `wait` is over.
+    fn follow(
+        &self,
+        table: Table,
+        after: Version,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Page, Fault>>;
+
+    /// Writes a row of the nodes' table; with `absent`, only if there is none.
+    fn write(
+        &self,
+        key: &str,
+        value: &[u8],
+        absent: bool,
+    ) -> impl Future<Output = Result<(), Fault>>;
+
+    /// Decodes the configuration.
+    ///
+    /// # Errors
+    /// What makes it unusable.
+    fn catalog(&self, value: &[u8]) -> Result<Catalog>;
+
+    /// Decodes an endpoint's entry.
+    ///
+    /// # Errors
+    /// What makes it unusable.
+    fn listing(&self, key: &str, value: &[u8]) -> Result<Listing>;
+}
+
+/// Position in a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Position {
+    /// The table must be read whole; nothing older than the version is taken over.
+    Unread(Version),
+    /// Changes after the version are next.
+    Following(Version),
+}
+
+/// Step of a follower.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum News {
+    /// All rows.
+    Whole(Vec<Row>),
+    /// Changed rows.
+    Changes(Vec<Row>),
+}
+
+/// Reads a table whole.
+///
+/// # Errors
+/// The store gave no answer, or an old one.
+pub async fn read_whole<S: Store>(
+    store: &S,
+    table: Table,
+    least: Version,
+) -> Result<(Vec<Row>, Version), Fault> {
+    let mut rows: Vec<Row> = Vec::new();
+    let mut version = None;
+    loop {
+        let after = rows.last().map(|row| row.key.clone());
+        let page = store.read(table, after.as_deref()).await?;
+        if page.version < least {
+            return Err(Fault::Unavailable("page older than what was seen".into()));
+        }
+        // Later pages may be newer: changes since the first page are followed again.
+        version = version.or(Some(page.version));
+        let empty = page.rows.is_empty();
+        rows.extend(page.rows);
+        if !page.more || empty {
+            return Ok((rows, version.unwrap_or(least)));
+        }
+    }
+}
+
+/// Follower of one table.
+#[derive(Debug)]
+struct Follower {
+    table: Table,
+    wait: Duration,
+    position: Position,
+    reached: bool,
+    backoff: Duration,
+    /// When the store was reached again after a failure.
+    returned: Option<Time>,
+}
+
+impl Follower {
+    fn new(table: Table, wait: Duration) -> Self {
+        Self {
+            table,
+            wait,
+            position: Position::Unread(Version(0)),
+            reached: true,
+            backoff: BACKOFF_MIN,
+            returned: None,
+        }
+    }
+
+    /// Next news; waits out failures.
+    async fn next<S: Store>(&mut self, board: &Board, store: &S) -> News {
+        loop {
+            let step = match self.position {
+                Position::Unread(least) => {
+                    let read = read_whole(store, self.table, least).await;
+                    read.map(|(rows, version)| (News::Whole(rows), version))
+                }
+                Position::Following(after) => {
+                    let followed = store.follow(self.table, after, self.wait).await;
+                    followed.map(|page| (News::Changes(page.rows), page.version.max(after)))
+                }
+            };
+            match step {
+                Ok((news, version)) => {
+                    self.position = Position::Following(version);
+                    self.note_reached(board);
+                    return news;
+                }
+                Err(fault) => self.note_fault(board, &fault).await,
+            }
+        }
+    }
+
+    fn note_reached(&mut self, board: &Board) {
+        self.backoff = BACKOFF_MIN;
+        if !self.reached {
+            self.reached = true;
+            self.returned = Some(board.now());
+            info!(board.log, "store reached"; Event::StoreUp,
+                "table" => format!("{:?}", self.table));
+        }
+    }
+
+    async fn note_fault(&mut self, board: &Board, fault: &Fault) {
+        board.metrics.count("store_fault", &format!("{:?}", self.table));
+        if *fault == Fault::HistoryLost {
+            info!(board.log, "history lost"; Event::HistoryLost,
+                "table" => format!("{:?}", self.table));
+            let (Position::Unread(seen) | Position::Following(seen)) = self.position;
+            self.position = Position::Unread(seen);
+            return;
+        }
+        if self.reached {
+            self.reached = false;
+            info!(board.log, "store lost"; Event::StoreDown,
+                "table" => format!("{:?}", self.table), "fault" => %fault);
+        }
+        tokio::time::sleep(self.backoff).await;
+        self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+    }
+
+    fn has_just_returned(&self, now: Time) -> bool {
+        !self.reached || self.returned.is_some_and(|at| now.since(at) < RETURN)
+    }
+}
+
+/// Keeps the newest configuration in force.
+pub async fn configuration<S: Store>(board: Rc<Board>, store: Rc<S>) {
+    let mut follower = Follower::new(Table::Configuration, CONFIGURATION_WAIT);
+    loop {
+        let (News::Whole(rows) | News::Changes(rows)) = follower.next(&board, &*store).await;
+        let empty = rows.is_empty();
+        for value in rows.into_iter().filter_map(|row| row.value) {
+            match store.catalog(&value) {
+                Ok(catalog) => put_in_force(&board, catalog),
+                Err(e) => warn!(board.log, "configuration ignored"; Event::ConfigIgnored,
+                    "error" => format!("{e:#}")),
+            }
+        }
+        if empty && board.catalog.borrow().is_none() {
+            tokio::time::sleep(BACKOFF_MIN).await;
+        }
+    }
+}
+
+fn put_in_force(board: &Board, catalog: Catalog) {
+    let before = board.catalog.borrow().as_ref().map(|known| known.version);
+    if before.is_some_and(|known| known >= catalog.version) {
+        return;
+    }
+    info!(board.log, "configuration in force"; Event::ConfigInForce,
+        "version" => catalog.version.get(), "before" => before.map(Version::get),
+        "routes" => catalog.len());
+    *board.catalog.borrow_mut() = Some(Rc::new(catalog));
+}
+
+/// Keeps the list of endpoints.
+pub async fn endpoints<S: Store>(board: Rc<Board>, store: Rc<S>) {
+    let mut follower = Follower::new(Table::Endpoints, ENDPOINTS_WAIT);
+    let mut missing: BTreeMap<EndpointId, Time> = BTreeMap::new();
+    loop {
+        let asked = board.now();
+        let news = follower.next(&board, &*store).await;
+        let now = board.now();
+        for id in take_over(&board, &*store, news) {
+            missing.entry(id).or_insert(now);
+        }
+        let wait = follower.has_just_returned(now);
+        missing.retain(|id, since| {
+            if is_listed_again(&board, id, *since) {
+                return false;
+            }
+            let over = !wait || now.since(*since) >= RETURN;
+            if over {
+                remove(&board, id);
+            }
+            !over
+        });
+        board.listed.set(true);
+        desk::pump_all(&board);
+        let pause = ENDPOINTS_INTERVAL.saturating_sub(board.now().since(asked));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Whether an entry that was missing has come back since.
+fn is_listed_again(board: &Board, id: &EndpointId, since: Time) -> bool {
+    board.fleet.borrow().listed_at(id).is_some_and(|at| at > since)
+}
+
+fn remove(board: &Board, id: &EndpointId) {
+    if board.fleet.borrow_mut().remove(id) {
+        info!(board.log, "endpoint gone"; Event::EndpointLeaving, "endpoint" => %id,
+            "reason" => "not listed any more");
+    }
+}
+
+/// Takes over rows of the directory and returns the endpoints that are missing in it.
+fn take_over<S: Store>(board: &Board, store: &S, news: News) -> Vec<EndpointId> {
+    let mut missing = Vec::new();
+    let (rows, whole) = match news {
+        News::Whole(rows) => (rows, true),
+        News::Changes(rows) => (rows, false),
+    };
+    let mut present = BTreeSet::new();
+    for row in rows {
+        let Ok(id) = EndpointId::new(&row.key) else { continue };
+        let Some(value) = row.value else {
+            missing.push(id);
+            continue;
+        };
+        match store.listing(&row.key, &value) {
+            Ok(listing) => list(board, listing),
+            Err(e) => {
+                info!(board.log, "entry ignored"; Event::EntryIgnored, "endpoint" => %id,
+                    "error" => format!("{e:#}"));
+                missing.push(id.clone());
+            }
+        }
+        present.insert(id);
+    }
+    if whole {
+        let fleet = board.fleet.borrow();
+        missing.extend(fleet.ids().filter(|id| !present.contains(*id)).cloned());
+    }
+    missing
+}
+
+fn list(board: &Board, listing: Listing) {
+    let distance = board.settings.distance(&listing.zone);
+    let mut fleet = board.fleet.borrow_mut();
+    let known = fleet.address(&listing.id).is_some();
+    let id = listing.id.clone();
+    let leaving = listing.leaving;
+    let service = listing.service.clone();
+    if !fleet.list(listing, distance, board.now()) {
+        return;
+    }
+    let event = if leaving { Event::EndpointLeaving } else { Event::EndpointJoined };
+    info!(board.log, "endpoint listed"; event, "endpoint" => %id, "service" => %service,
+        "leaving" => leaving, "known" => known);
+}
--- /dev/null
+++ b/crates/sched/src/fleet.rs
@@ -0,0 +1,488 @@
+//! Placement among endpoints that many nodes fill at once.
+//!
+//! Load pattern: short bursts of long prompts among short calls, sent by
+//! several nodes that share no memory, to endpoints that differ in speed,
+//! admit in order of arrival and slow down for moments without notice. Each
+//! node counts its own requests exactly and takes what its peers have in
+//! flight from their last digest, so that the queue inside an endpoint stays
+//! empty and a request waits where it can still go elsewhere.
+//!
+//! The expected time to a first answer is
+//! `distance + slowness × (base + unread prompt tokens × cost)`. Slowness is
+//! learned from the pauses between the events of running streams, and
+//! corrected for some hundred milliseconds by the pace that the endpoint
+//! itself reports.
+//!
+//! Invariants:
+//! * an endpoint that is leaving or gone is never chosen;
+//! * an endpoint is never given more requests than it has slots, peers'
+//!   requests included, as far as this node knows.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+use units::{EndpointId, InstanceId, ServiceId, Time, Tokens, ZoneId};
+
+/// Slots of an endpoint that does not state them.
+const UNKNOWN_SLOTS: u32 = 4;
+/// Time to a first answer without its prompt, in ms.
+const BASE_MS: f64 = 10.0;
+/// Time to read one prompt token on an endpoint of usual speed, in ms; the engines' data sheet.
+const TOKEN_MS: f64 = 1.0 / 112.0;
+/// Unread prompt tokens that an endpoint is given at once, in ms of its reading time.
+const UNREAD_MS: f64 = 250.0;
+/// Growth of the expected time from an empty to a full endpoint, in ms; spreads light load.
+const CROWD_MS: f64 = 30.0;
+/// Expected time added for an endpoint that fails every request, in ms.
+const FAILURE_MS: f64 = 1_500.0;
+/// Slowness above which a long prompt makes the pauses of other streams late.
+const SLUGGISH: f64 = 1.6;
+/// Prompt length that a sluggish endpoint reads without late pauses, in tokens.
+const SLUGGISH_PROMPT: f64 = 3_000.0;
+/// Expected time added for each token beyond it, in ms.
+const SLUGGISH_TOKEN_MS: f64 = 0.03;
+/// Weight of a new pause in the learned pause.
+const PAUSE_WEIGHT: f64 = 0.1;
+/// Bounds of the learned slowness.
+const SLOWNESS: (f64, f64) = (0.3, 8.0);
+/// Time in which a reported pace loses half of its weight.
+const PACE_HALF_LIFE_S: f64 = 0.3;
+/// Weight of a new outcome in the rate of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time in which the rate of failures decays by half without news.
+const FAILURE_HALF_LIFE_S: f64 = 2.0;
+/// First pause after an endpoint could not be reached, doubled each time.
+const DOWN_MIN: Duration = Duration::from_millis(250);
+/// Longest such pause.
+const DOWN_MAX: Duration = Duration::from_secs(2);
+/// Time after which what a peer said of its requests is forgotten.
+const SHARE_TTL: Duration = Duration::from_secs(3);
+
+/// Where an endpoint stands, seen from this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same availability zone.
+    Zone,
+    /// In another zone of the same region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+impl Distance {
+    /// Time that the distance adds, in ms; other regions also cost a narrow, paid link.
+    const fn ms(self) -> f64 {
+        match self {
+            Self::Zone => 0.0,
+            Self::Region => 4.0,
+            Self::Far => 45.0,
+        }
+    }
+}
+
+/// Endpoint as the directory lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Endpoint.
+    pub id: EndpointId,
+    /// Service that it runs.
+    pub service: ServiceId,
+    /// Address that it serves at.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Start of its present lifetime, in Unix milliseconds.
+    pub born: Option<u64>,
+}
+
+/// Load that an endpoint reports with an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Gauge {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting inside the endpoint.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Duration of work at this moment, 1 being usual.
+    pub pace: f64,
+}
+
+/// What a node has in flight at one endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Requests.
+    pub flights: u32,
+    /// Prompt tokens that have no first answer yet.
+    pub unread: Tokens,
+}
+
+/// Size of a request, as far as it is known before it runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    /// Prompt length.
+    pub prompt: Tokens,
+}
+
+/// Request in search of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Service.
+    pub service: &'a ServiceId,
+    /// Size.
+    pub demand: Demand,
+    /// Endpoints that it was sent to before.
+    pub avoid: &'a [EndpointId],
+}
+
+/// Endpoint that was chosen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Expected time to a first answer.
+    pub expected: Duration,
+    /// Requests in flight there, peers' included.
+    pub flights: u32,
+    /// Endpoints that had room.
+    pub candidates: usize,
+}
+
+/// End of a request at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered whole.
+    Whole,
+    /// The endpoint failed the request.
+    Failed,
+    /// The endpoint had no room and did not run it.
+    Full,
+    /// No connection could be made.
+    Unreachable,
+    /// Ended by this node or its caller.
+    Dropped,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    listing: Listing,
+    distance: Distance,
+    listed_at: Time,
+    own: Share,
+    peers: HashMap<InstanceId, (Share, Time)>,
+    pause_ms: Option<f64>,
+    pace: f64,
+    pace_at: Time,
+    failures: f64,
+    failed_at: Time,
+    down_until: Time,
+    down_for: Duration,
+}
+
+impl Endpoint {
+    fn new(listing: Listing, distance: Distance) -> Self {
+        Self {
+            listing,
+            distance,
+            listed_at: Time::ZERO,
+            own: Share::default(),
+            peers: HashMap::new(),
+            pause_ms: None,
+            pace: 1.0,
+            pace_at: Time::ZERO,
+            failures: 0.0,
+            failed_at: Time::ZERO,
+            down_until: Time::ZERO,
+            down_for: DOWN_MIN,
+        }
+    }
+
+    fn slots(&self) -> u32 {
+        if self.listing.slots == 0 { UNKNOWN_SLOTS } else { self.listing.slots }
+    }
+
+    fn load(&self, now: Time) -> Share {
+        let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < SHARE_TTL);
+        fresh.fold(self.own, |sum, (share, _)| Share {
+            flights: sum.flights + share.flights,
+            unread: Tokens(sum.unread.0 + share.unread.0),
+        })
+    }
+
+    fn failure_rate(&self, now: Time) -> f64 {
+        self.failures * decay(now.since(self.failed_at), FAILURE_HALF_LIFE_S)
+    }
+
+    fn pace(&self, now: Time) -> f64 {
+        1.0 + (self.pace - 1.0) * decay(now.since(self.pace_at), PACE_HALF_LIFE_S)
+    }
+
+    fn note(&mut self, failed: bool, now: Time) {
+        let rate = self.failure_rate(now);
+        let seen = if failed { 1.0 } else { 0.0 };
+        self.failures = rate + FAILURE_WEIGHT * (seen - rate);
+        self.failed_at = now;
+    }
+
+    fn back_off(&mut self, now: Time) {
+        self.down_until = now + self.down_for;
+        self.down_for = (self.down_for * 2).min(DOWN_MAX);
+    }
+}
+
+fn decay(age: Duration, half_life_s: f64) -> f64 {
+    0.5f64.powf(age.as_secs_f64() / half_life_s)
+}
+
+#[allow(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+fn tokens(count: Tokens) -> f64 {
+    count.0 as f64
+}
+
+/// Endpoints of all services, with what this node believes of each.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    usual_pause_ms: f64,
+}
+
+impl Fleet {
+    /// Empty fleet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over a listing; true when it changes what is believed.
+    pub fn list(&mut self, listing: Listing, distance: Distance, now: Time) -> bool {
+        let changed = self.take_over(listing.clone(), distance);
+        if let Some(known) = self.endpoints.get_mut(&listing.id) {
+            known.listed_at = now;
+        }
+        changed
+    }
+
+    /// When an endpoint was listed last.
+    #[must_use]
+    pub fn listed_at(&self, id: &EndpointId) -> Option<Time> {
+        self.endpoints.get(id).map(|endpoint| endpoint.listed_at)
+    }
+
+    fn take_over(&mut self, listing: Listing, distance: Distance) -> bool {
+        let Some(known) = self.endpoints.get_mut(&listing.id) else {
+            self.endpoints.insert(listing.id.clone(), Endpoint::new(listing, distance));
+            return true;
+        };
+        if known.listing == listing {
+            return false;
+        }
+        if known.listing.born != listing.born || known.listing.address != listing.address {
+            let own = known.own;
+            *known = Endpoint::new(listing, distance);
+            known.own = own;
+        } else {
+            known.listing = listing;
+        }
+        true
+    }
+
+    /// Forgets an endpoint that is gone.
+    pub fn remove(&mut self, id: &EndpointId) -> bool {
+        self.endpoints.remove(id).is_some()
+    }
+
+    /// Endpoints listed.
+    pub fn ids(&self) -> impl Iterator<Item = &EndpointId> {
+        self.endpoints.keys()
+    }
+
+    /// Address of an endpoint.
+    #[must_use]
+    pub fn address(&self, id: &EndpointId) -> Option<SocketAddr> {
+        self.endpoints.get(id).map(|endpoint| endpoint.listing.address)
+    }
+
+    /// Whether any endpoint of the service may be sent to, now or once it has room.
+    #[must_use]
+    pub fn serves(&self, service: &ServiceId) -> bool {
+        self.endpoints.values().any(|e| e.listing.service == *service && !e.listing.leaving)
+    }
+
+    /// Free slots and all slots of a service.
+    #[must_use]
+    pub fn room(&self, service: &ServiceId, now: Time) -> Room {
+        let mut room = Room::default();
+        for endpoint in self.endpoints.values() {
+            if endpoint.listing.service != *service || endpoint.listing.leaving {
+                continue;
+            }
+            room.slots += endpoint.slots();
+            room.free += endpoint.slots().saturating_sub(endpoint.load(now).flights);
+        }
+        room
+    }
+
+    /// Endpoint with the earliest expected answer among those with room.
+    #[must_use]
+    pub fn pick(&self, ask: &Ask<'_>, now: Time) -> Option<Choice> {
+        let usable = self.endpoints.values().filter(|e| self.has_room(e, ask, now));
+        let mut best: Option<(f64, &Endpoint)> = None;
+        let mut candidates = 0;
+        for endpoint in usable {
+            candidates += 1;
+            let avoided = ask.avoid.contains(&endpoint.listing.id);
+            let cost = self.cost(endpoint, ask, now) + if avoided { FAILURE_MS } else { 0.0 };
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, endpoint));
+            }
+        }
+        best.map(|(cost, endpoint)| Choice {
+            endpoint: endpoint.listing.id.clone(),
+            address: endpoint.listing.address,
+            expected: Duration::from_secs_f64(cost / 1_000.0),
+            flights: endpoint.load(now).flights,
+            candidates,
+        })
+    }
+
+    fn has_room(&self, endpoint: &Endpoint, ask: &Ask<'_>, now: Time) -> bool {
+        let listing = &endpoint.listing;
+        if listing.service != *ask.service || listing.leaving || now < endpoint.down_until {
+            return false;
+        }
+        let load = endpoint.load(now);
+        if load.flights >= endpoint.slots() {
+            return false;
+        }
+        let unread = tokens(load.unread);
+        let reading_ms = (unread + tokens(ask.demand.prompt)) * TOKEN_MS * self.slowness(endpoint);
+        unread <= 0.0 || reading_ms <= UNREAD_MS
+    }
+
+    fn slowness(&self, endpoint: &Endpoint) -> f64 {
+        match endpoint.pause_ms {
+            Some(pause) if self.usual_pause_ms > 0.0 => {
+                (pause / self.usual_pause_ms).clamp(SLOWNESS.0, SLOWNESS.1)
+            }
+            _ => 1.0,
+        }
+    }
+
+    fn cost(&self, endpoint: &Endpoint, ask: &Ask<'_>, now: Time) -> f64 {
+        let load = endpoint.load(now);
+        let slowness = self.slowness(endpoint) * endpoint.pace(now);
+        let prompt = tokens(ask.demand.prompt);
+        let reading = (tokens(load.unread) + prompt) * TOKEN_MS;
+        let crowd = CROWD_MS * f64::from(load.flights) / f64::from(endpoint.slots());
+        let sluggish = if slowness > SLUGGISH {
+            SLUGGISH_TOKEN_MS * (prompt - SLUGGISH_PROMPT).max(0.0)
+        } else {
+            0.0
+        };
+        endpoint.distance.ms()
+            + slowness * (BASE_MS + reading + crowd)
+            + sluggish
+            + FAILURE_MS * endpoint.failure_rate(now)
+    }
+
+    /// Notes a request that is being sent.
+    pub fn begin(&mut self, id: &EndpointId, demand: Demand) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.own.flights += 1;
+            endpoint.own.unread.0 += demand.prompt.0;
+        }
+    }
+
+    /// Notes the first answer of a request: its prompt has been read.
+    pub fn first(&mut self, id: &EndpointId, demand: Demand) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.own.unread.0 = endpoint.own.unread.0.saturating_sub(demand.prompt.0);
+            endpoint.down_for = DOWN_MIN;
+        }
+    }
+
+    /// Learns from the pause before an event of a stream.
+    pub fn pause(&mut self, id: &EndpointId, pause: Duration) {
+        let seen = pause.as_secs_f64() * 1_000.0;
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let before = endpoint.pause_ms.unwrap_or(seen);
+        endpoint.pause_ms = Some(before + PAUSE_WEIGHT * (seen - before));
+        let usual = if self.usual_pause_ms > 0.0 { self.usual_pause_ms } else { seen };
+        self.usual_pause_ms = usual + PAUSE_WEIGHT * 0.1 * (seen - usual);
+    }
+
+    /// Takes over a report that came with an answer.
+    pub fn gauge(&mut self, id: &EndpointId, gauge: Gauge, now: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.pace = gauge.pace.clamp(SLOWNESS.0, SLOWNESS.1);
+            endpoint.pace_at = now;
+        }
+    }
+
+    /// Notes the end of a request; `read` says whether its first answer had come.
+    pub fn end(
+        &mut self,
+        id: &EndpointId,
+        demand: Demand,
+        read: bool,
+        outcome: Outcome,
+        now: Time,
+    ) {
+        if !read {
+            self.first(id, demand);
+        }
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        endpoint.own.flights = endpoint.own.flights.saturating_sub(1);
+        match outcome {
+            Outcome::Whole => endpoint.note(false, now),
+            Outcome::Failed => endpoint.note(true, now),
+            Outcome::Full => endpoint.down_until = now + DOWN_MIN / 5,
+            Outcome::Unreachable => endpoint.back_off(now),
+            Outcome::Dropped => {}
+        }
+    }
+
+    /// What this node has in flight.
+    pub fn shares(&self) -> impl Iterator<Item = (&EndpointId, Share)> {
+        let busy = self.endpoints.iter().filter(|(_, e)| e.own != Share::default());
+        busy.map(|(id, endpoint)| (id, endpoint.own))
+    }
+
+    /// Takes over what a peer has in flight; endpoints it does not name are free of its requests.
+    pub fn hear(&mut self, peer: &InstanceId, shares: &HashMap<EndpointId, Share>, now: Time) {
+        for (id, endpoint) in &mut self.endpoints {
+            match shares.get(id) {
+                Some(share) => {
+                    endpoint.peers.insert(peer.clone(), (*share, now));
+                }
+                None => {
+                    endpoint.peers.remove(peer);
+                }
+            }
+        }
+    }
+
+    /// Forgets what a peer had in flight.
+    pub fn forget(&mut self, peer: &InstanceId) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.peers.remove(peer);
+        }
+    }
+}
+
+/// Slots of a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Room {
+    /// Slots without a request.
+    pub free: u32,
+    /// All slots.
+    pub slots: u32,
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -19,13 +19,17 @@
 //! Time and random numbers come in as arguments.
 
 pub mod bid;
+pub mod budget;
 pub mod cell;
 pub mod fair;
+pub mod fleet;
 pub mod holder;
 pub mod life;
+pub mod line;
 pub mod placement;
 pub mod policy;
 pub mod prefix;
+pub mod quota;
 pub mod route;
 pub mod strike;
 pub mod tempo;
--- a/crates/sched/src/strike.rs
+++ b/crates/sched/src/strike.rs
@@ -42,9 +42,16 @@
 }
 
 /// Strikes by fingerprint.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Ledger {
     records: HashMap<Fingerprint, Record>,
+    threshold: u8,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self { records: HashMap::new(), threshold: QUARANTINE_STRIKES }
+    }
 }
 
 impl Ledger {
@@ -54,6 +61,13 @@
         Self::default()
     }
 
+    /// Quarantines after `strikes` strikes.
+    #[must_use]
+    pub fn with_threshold(mut self, strikes: u8) -> Self {
+        self.threshold = strikes;
+        self
+    }
+
     /// What is known of a request.
     #[must_use]
     pub fn verdict(&self, fingerprint: Fingerprint, now: Time) -> Verdict {
@@ -64,7 +78,7 @@
             return Verdict::Clear;
         }
         let until = record.last + quarantine(record.strikes);
-        if record.strikes >= QUARANTINE_STRIKES && now < until {
+        if record.strikes >= self.threshold && now < until {
             Verdict::Quarantined { until }
         } else {
             Verdict::Suspect
