Allotments: totals per lifetime; streams refused while connections close

Ruled out: a burst beyond the allotment; the limit is 1.8 times the usual, and a restart of peers. Change: totals carry their process's lifetime and may fall; streams that come once the node closes its connections are refused as not run.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     answer,
-    board::Board,
+    board::{Board, Phase},
     caller,
     catalog::{Kind, Organisation, Route},
     desk::{self, Flight, Wanted},
@@ -50,6 +50,8 @@
 const READ_THOUSAND: Duration = Duration::from_millis(9);
 /// Time after which a caller that met no room should return.
 const RETRY_SOON: Duration = Duration::from_millis(300);
+/// Time after which a caller should turn to another node.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 /// Connections that may fail before the request is refused.
 const MAX_UNSENT: u32 = 6;
 /// Time to tell a crashed endpoint from a broken connection.
@@ -188,7 +190,7 @@
         Err(refused) => Err(refused),
     };
     let mut response = result.unwrap_or_else(|refused| refusal(&board, &attempt, &refused));
-    if board.phase() != crate::board::Phase::Serving {
+    if board.phase() != Phase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
@@ -238,6 +240,10 @@
         Refused::new(Code::UnknownRoute, cause)
     })?);
     let organisation = organisation(&catalog, &route, &head)?;
+    if board.phase() == Phase::Closing && route.kind.is_stream() {
+        let refused = Refused::new(Code::Draining, "a stream would outlive this process");
+        return Err(refused.with_retry_after(RETRY_ELSEWHERE));
+    }
     let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
     let deadline = arrived + route.timeout.map_or(patience, |timeout| timeout.min(patience));
     let (parts, body) = request.into_parts();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -20,7 +20,7 @@
 use codes::Event;
 use hmac::{Hmac, Mac};
 use rand::Rng;
-use sched::fleet::Share;
+use sched::{fleet::Share, quota::Total};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use slog::info;
@@ -347,8 +347,8 @@
     for spent in &digest.spent {
         let organisation = &spent.organisation;
         if let Some(allotment) = catalog.as_ref().and_then(|c| c.allotment(organisation)) {
-            let peer = digest.from.as_str();
-            meter.hear(peer, organisation, allotment, spent.tokens, now);
+            let total = Total { lifetime: digest.lifetime, spent: spent.tokens };
+            meter.hear(&digest.from, organisation, allotment, total, now);
         }
     }
     let mut ledger = board.ledger.borrow_mut();
--- a/crates/sched/src/quota.rs
+++ b/crates/sched/src/quota.rs
@@ -8,7 +8,7 @@
 //! within the allotment.
 
 use std::{collections::HashMap, time::Duration};
-use units::{OrganisationId, Time, Tokens};
+use units::{InstanceId, OrganisationId, Time, Tokens};
 
 /// Allotment of an organisation over all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,7 +24,16 @@
     level: f64,
     at: Time,
     spent: u64,
-    heard: HashMap<Box<str>, u64>,
+    heard: HashMap<InstanceId, Total>,
+}
+
+/// Tokens that a node has admitted in one lifetime of its process, less what it gave back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Total {
+    /// Lifetime; a later one is larger.
+    pub lifetime: u64,
+    /// Tokens.
+    pub spent: u64,
 }
 
 /// Buckets of all organisations.
@@ -92,23 +101,26 @@
         }
     }
 
-    /// Takes over the sum that a peer has admitted since its start.
+    /// Takes over the total that a peer states.
     pub fn hear(
         &mut self,
-        peer: &str,
+        peer: &InstanceId,
         organisation: &OrganisationId,
         allotment: Allotment,
-        spent: u64,
+        total: Total,
         now: Time,
     ) {
         let bucket = self.bucket(organisation, allotment, now);
-        // The first sum of a peer says nothing about when it was spent.
-        let before = bucket.heard.insert(peer.into(), spent).unwrap_or(spent);
-        let news = if spent >= before { spent - before } else { spent };
-        bucket.level -= float(Tokens(news));
+        // The first total of a peer does not say when it was spent; a new lifetime begins at zero.
+        let before = match bucket.heard.insert(peer.clone(), total) {
+            None => total.spent,
+            Some(before) if before.lifetime == total.lifetime => before.spent,
+            Some(_) => 0,
+        };
+        bucket.level -= float(Tokens(total.spent)) - float(Tokens(before));
     }
 
-    /// Sums that this node has admitted since its start.
+    /// Tokens that this node has admitted since its start, less what it gave back.
     pub fn spent(&self) -> impl Iterator<Item = (&OrganisationId, u64)> {
         self.buckets.iter().map(|(organisation, bucket)| (organisation, bucket.spent))
     }
