Line: turn away at arrival what would outwait its caller

Cause: callers of streams leave after two seconds without an event. Ruled out: room at endpoints (the line was served as fast as slots came free); allotments (no 429). Change: the latest dispatch follows the caller's patience; the line measures its pace by work and tells the wait that a tier must expect; a longer wait is refused on arrival, with that wait as the time to return.

--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -55,6 +55,8 @@
     pub timeout: Option<Duration>,
     /// Time to the first answer within which it is of full use.
     pub target: Option<Duration>,
+    /// Pause between events within which a stream is of full use.
+    pub pause: Option<Duration>,
     /// Endpoints that one request may be sent to.
     pub attempts: u32,
     /// Tier.
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -59,7 +59,7 @@
             organisation: self.organisation.clone(),
             prompt: self.demand.prompt,
             output: self.output,
-            deadline: self.terms.deadline,
+            deadline: self.terms.latest,
             prefixes: Box::default(),
             fingerprint: self.fingerprint,
             suspect: false,
@@ -70,7 +70,16 @@
 #[derive(Debug)]
 enum Verdict {
     Run(Flight),
-    Refuse(Code),
+    Refuse(Refusal),
+}
+
+/// Refusal of a request that was not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Result code.
+    pub code: Code,
+    /// Time after which there should be room.
+    pub wait: Duration,
 }
 
 #[derive(Debug)]
@@ -206,44 +215,50 @@
     board: &Rc<Board>,
     wanted: &Wanted,
     avoid: &[EndpointId],
-) -> Result<Flight, Code> {
+) -> Result<Flight, Refusal> {
     let (reply, verdict) = oneshot::channel();
-    let refused = enqueue(board, wanted, Waiter { reply, avoid: avoid.into() });
+    let refused = enqueue(board, wanted, Waiter { reply, avoid: avoid.into() })?;
     let _place = Place { board, service: &wanted.service, request: wanted.request };
     refuse(refused);
     pump(board, &wanted.service);
     match verdict.await {
         Ok(Verdict::Run(flight)) => Ok(flight),
-        Ok(Verdict::Refuse(code)) => Err(code),
-        Err(_) => Err(Code::Draining),
+        Ok(Verdict::Refuse(refusal)) => Err(refusal),
+        Err(_) => Err(Refusal { code: Code::Draining, wait: Duration::ZERO }),
     }
 }
 
-type Refusals = Vec<(oneshot::Sender<Verdict>, Code)>;
+type Refusals = Vec<(oneshot::Sender<Verdict>, Refusal)>;
 
-fn enqueue(board: &Board, wanted: &Wanted, waiter: Waiter) -> Refusals {
+/// Puts a request in its line, and returns those that had to make room.
+fn enqueue(board: &Board, wanted: &Wanted, waiter: Waiter) -> Result<Refusals, Refusal> {
     let now = board.now();
     let mut desk = board.desk.borrow_mut();
+    let desk = &mut *desk;
     let bid = wanted.bid(&desk.me);
-    desk.waiters.insert(wanted.request, waiter);
     let line = desk.lines.entry(wanted.service.clone()).or_default();
-    line.push(bid, wanted.terms, now);
-    let mut refused = Vec::new();
-    if line.len() > MAX_WAITING
-        && let Some(victim) = line.victim().map(|bid| bid.request)
-    {
-        line.remove(victim);
-        let waiter = desk.waiters.remove(&victim);
-        refused.extend(waiter.map(|waiter| (waiter.reply, Code::QueueFull)));
+    line.arrive(&bid, now);
+    if let Some(wait) = line.overlong(wanted.rank, wanted.terms, now) {
+        return Err(Refusal { code: Code::QueueFull, wait });
     }
+    desk.waiters.insert(wanted.request, waiter);
+    line.push(bid, wanted.terms, now);
     desk.arrived.notify_one();
-    refused
+    if line.len() <= MAX_WAITING {
+        return Ok(Vec::new());
+    }
+    let Some(victim) = line.victim().cloned() else { return Ok(Vec::new()) };
+    line.remove(victim.request);
+    let wait = line.expected_wait(victim.rank, now);
+    let waiter = desk.waiters.remove(&victim.request);
+    let refusal = Refusal { code: Code::QueueFull, wait };
+    Ok(waiter.into_iter().map(|waiter| (waiter.reply, refusal)).collect())
 }
 
 /// Tells waiting tasks of their refusal; a task that is gone needs no answer.
 fn refuse(refused: Refusals) {
-    for (reply, code) in refused {
-        reply.send(Verdict::Refuse(code)).ok();
+    for (reply, refusal) in refused {
+        reply.send(Verdict::Refuse(refusal)).ok();
     }
 }
 
@@ -271,7 +286,7 @@
     let line = desk.lines.get_mut(service)?;
     line.demote(now);
     let waiters = &desk.waiters;
-    let (bid, choice) = line.next(|bid| {
+    let (bid, choice) = line.next(now, |bid| {
         let avoid = waiters.get(&bid.request).map_or(&[][..], |waiter| &waiter.avoid);
         let demand = Demand { prompt: bid.prompt };
         fleet.pick(&Ask { service, demand, avoid }, now)
@@ -314,7 +329,9 @@
         line.demote(now);
         for bid in line.expire(now) {
             let waiter = desk.waiters.remove(&bid.request);
-            refused.extend(waiter.map(|waiter| (waiter.reply, Code::DeadlineUnmeetable)));
+            let wait = line.expected_wait(bid.rank, now);
+            let refusal = Refusal { code: Code::DeadlineUnmeetable, wait };
+            refused.extend(waiter.map(|waiter| (waiter.reply, refusal)));
         }
     }
     refused
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -10,7 +10,7 @@
     board::{Board, Phase},
     caller,
     catalog::{Kind, Organisation, Route},
-    desk::{self, Flight, Wanted},
+    desk::{self, Flight, Refusal, Wanted},
     dialect::Stamp,
     pool::Connection,
     stream::Relay,
@@ -42,6 +42,12 @@
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// Largest plain answer that is held, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
+/// Silence of a stream after which callers leave, at least.
+const SILENCE_LEAST: Duration = Duration::from_secs(2);
+/// The same, in times of the route's target for the first event.
+const SILENCE_TARGETS: u32 = 4;
+/// The same, in times of the route's longest pause.
+const SILENCE_PAUSES: u32 = 8;
 /// Part of the memory that callers' bodies may take.
 const BODY_MEMORY_PART: u64 = 4;
 /// Time from a dispatch to the answer beside the reading of the prompt.
@@ -50,6 +56,9 @@
 const READ_THOUSAND: Duration = Duration::from_millis(9);
 /// Time after which a caller that met no room should return.
 const RETRY_SOON: Duration = Duration::from_millis(300);
+/// Part of the time left after which a caller is asked to return at the latest; callers do not
+/// wait for longer than a third.
+const RETURN_PART: u32 = 4;
 /// Time after which a caller should turn to another node.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 /// Connections that may fail before the request is refused.
@@ -295,10 +304,10 @@
     let demand = Wanted::demand(head);
     let thousands = u32::try_from(demand.prompt.0 / 1_000).unwrap_or(u32::MAX);
     let lead = DISPATCH_LEAD + READ_THOUSAND * thousands;
-    let timely = match route.target {
-        Some(target) => arrived + target.saturating_sub(lead.min(target / 2)),
-        None => deadline,
-    };
+    let target = route.target.unwrap_or_else(|| deadline.since(arrived));
+    let timely = arrived + target.saturating_sub(lead.min(target / 2));
+    let patience = deadline.since(arrived).min(silence(route));
+    let latest = arrived + patience.saturating_sub(lead.min(patience / 2));
     let anonymous = || OrganisationId::new(ANONYMOUS).expect("the name is valid");
     Wanted {
         request: RequestId::random(&mut rand::rng()),
@@ -307,11 +316,21 @@
         organisation: organisation.map_or_else(anonymous, |o| o.id.clone()),
         demand,
         output: head.output.unwrap_or_default(),
-        terms: Terms { timely, deadline },
+        terms: Terms { timely, latest },
         fingerprint,
     }
 }
 
+/// Time for which a caller waits for the next event of a stream, the first one included.
+fn silence(route: &Route) -> Duration {
+    if !route.kind.is_stream() {
+        return DEFAULT_PATIENCE;
+    }
+    let by_target = route.target.unwrap_or_default() * SILENCE_TARGETS;
+    let by_pause = route.pause.unwrap_or_default() * SILENCE_PAUSES;
+    SILENCE_LEAST.max(by_target).max(by_pause)
+}
+
 /// Reads a caller's body within the limits of size, time and memory.
 async fn read_body(
     board: &Board,
@@ -473,6 +492,17 @@
         }
     }
 
+    /// Refusal of a request that found no endpoint.
+    fn turned_away(&self, intake: &Intake, refusal: Refusal, now: Time) -> Refused {
+        let left = intake.deadline.since(now);
+        let cause =
+            format!("{} expects to wait {} ms", intake.wanted.service, millis(refusal.wait));
+        let refused = self.refused(refusal.code, &cause);
+        let spread = rand::random_range(0.8..1.2);
+        let wait = refusal.wait.max(RETRY_SOON).min(left / RETURN_PART).mul_f64(spread);
+        if self.runs > 0 { refused } else { refused.with_retry_after(wait) }
+    }
+
     /// Refusal that promises "not run" only if that is so.
     fn refused(&self, code: Code, cause: &str) -> Refused {
         if self.runs > 0 {
@@ -497,7 +527,7 @@
     let mut history = History::default();
     loop {
         let flight = desk::place(board, &intake.wanted, &history.tried).await;
-        let flight = flight.map_err(|code| history.refused(code, "waited for an endpoint"))?;
+        let flight = flight.map_err(|refusal| history.turned_away(intake, refusal, board.now()))?;
         let endpoint = flight.endpoint().clone();
         let answered = match send(board, intake, flight, intake.head.resume_after).await {
             Ok(answered) => answered,
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -21,8 +21,8 @@
     task::spawn_local,
 };
 
-/// Time for the balancer to see that the node is not ready: three of its rounds.
-const ROTATION: Duration = Duration::from_millis(3_000);
+/// Time for the balancer to see that the node is not ready: two of its rounds and a slow answer.
+const ROTATION: Duration = Duration::from_millis(2_600);
 /// Time kept back from the grace period for the last bytes to leave.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Interval at which the end of the last answer is looked for.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,7 +15,7 @@
     pool::Connection,
 };
 use bytes::Bytes;
-use codes::{Code, Event};
+use codes::Event;
 use http_body::Body as _;
 use hyper::body::Incoming;
 use sched::fleet::Outcome;
@@ -272,7 +272,8 @@
             "request" => &*self.intake.head.attempt, "endpoint" => %leg.flight.endpoint(),
             "first_ms" => u64::try_from(first.as_millis()).unwrap_or(u64::MAX),
             "total_ms" => now.since(self.intake.arrived).as_millis().to_string(),
-            "events" => self.events, "runs" => self.history.runs + 1);
+            "events" => self.events, "prompt" => self.intake.wanted.demand.prompt.get(),
+            "output" => self.intake.wanted.output.get(), "runs" => self.history.runs + 1);
         self.board.metrics.count("answered", "stream");
         self.board.metrics.time("answer", now.since(self.intake.arrived));
         self.board.pool.put(leg.connection, leg.keep_alive, now);
@@ -342,7 +343,7 @@
 ) -> Result<(Leg, History), Box<str>> {
     loop {
         let flight = desk::place(&board, &intake.wanted, &history.tried).await;
-        let flight = flight.map_err(|code: Code| code.to_string())?;
+        let flight = flight.map_err(|refusal| refusal.code.to_string())?;
         let endpoint = flight.endpoint().clone();
         let sent = exchange::send(&board, &intake, flight, last).await;
         let failure = match sent {
--- a/crates/sched/src/fair.rs
+++ b/crates/sched/src/fair.rs
@@ -84,6 +84,13 @@
         Work(self.tiers.iter().map(|tier| tier.work).sum())
     }
 
+    /// Estimated work waiting in a tier and those above it.
+    #[must_use]
+    pub fn work_to(&self, rank: Rank) -> Work {
+        let tiers = usize::from(rank.0).min(TIERS - 1) + 1;
+        Work(self.tiers[..tiers].iter().map(|tier| tier.work).sum())
+    }
+
     /// Lowest tier with a request waiting.
     #[must_use]
     pub fn lowest(&self) -> Option<Rank> {
--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -8,20 +8,58 @@
 //! ([`crate::fair`]). Late requests are served from what is left and given up
 //! only when their answer could not be whole before their deadline.
 
-use crate::{Bid, fair::Queue};
+//!
+//! A caller that hears nothing for a while leaves, and a request that was
+//! given up while it waited has cost its caller that time. So the line states
+//! the wait that a new request must expect, and a request that would wait for
+//! longer than its caller does is turned away when it arrives.
+
+use crate::{
+    Bid,
+    fair::{Queue, TIERS},
+};
 use std::{collections::HashMap, time::Duration};
-use units::{RequestId, Time};
+use units::{Rank, RequestId, Time};
 
-/// Time that an answer takes at least; a request with less time left is given up.
-const LEAST_ANSWER: Duration = Duration::from_millis(40);
+/// Time in which what the line has seen loses half of its weight.
+const PACE_HALF_LIFE_S: f64 = 1.0;
+/// Wait that is never taken for too long, so that a pace measured in calm does not turn away the
+/// beginning of a burst.
+const LEAST_WAIT: Duration = Duration::from_millis(150);
+/// Longest wait that is told.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
 /// Times that decide how long a request may wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Terms {
     /// Latest dispatch for an answer in time.
     pub timely: Time,
-    /// Latest end of the whole answer.
-    pub deadline: Time,
+    /// Latest dispatch for an answer that its caller still waits for.
+    pub latest: Time,
+}
+
+/// Work a second, forgotten by half in [`PACE_HALF_LIFE_S`].
+#[derive(Debug, Clone, Copy, Default)]
+struct Pace {
+    sum: f64,
+    at: Time,
+}
+
+impl Pace {
+    fn at(&self, now: Time) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.sum * 0.5f64.powf(age / PACE_HALF_LIFE_S)
+    }
+
+    fn add(&mut self, work: f64, now: Time) {
+        self.sum = self.at(now) + work;
+        self.at = now;
+    }
+
+    /// Work a second.
+    fn rate(&self, now: Time) -> f64 {
+        self.at(now) * std::f64::consts::LN_2 / PACE_HALF_LIFE_S
+    }
 }
 
 /// Line of waiting requests.
@@ -30,6 +68,13 @@
     timely: Queue,
     late: Queue,
     terms: HashMap<RequestId, Terms>,
+    arrived: [Pace; TIERS],
+    served: Pace,
+}
+
+#[allow(clippy::cast_precision_loss, reason = "work is far below 2^52")]
+fn work(bid: &Bid) -> f64 {
+    bid.work().0 as f64
 }
 
 impl Line {
@@ -51,6 +96,41 @@
         self.terms.is_empty()
     }
 
+    /// Notes a request that arrives, whether it will wait or not.
+    pub fn arrive(&mut self, bid: &Bid, now: Time) {
+        let tier = usize::from(bid.rank.0).min(TIERS - 1);
+        self.arrived[tier].add(work(bid), now);
+    }
+
+    /// Wait that a new request of a tier must expect.
+    ///
+    /// Ahead of it are the requests of its own and higher tiers; it is served by what the pace of
+    /// the line leaves beside the arrivals of higher tiers.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, reason = "work is far below 2^52")]
+    pub fn expected_wait(&self, rank: Rank, now: Time) -> Duration {
+        let ahead = (self.timely.work_to(rank).0 + self.late.work_to(rank).0) as f64;
+        if ahead <= 0.0 {
+            return Duration::ZERO;
+        }
+        let tier = usize::from(rank.0).min(TIERS - 1);
+        let above: f64 = self.arrived[..tier].iter().map(|pace| pace.rate(now)).sum();
+        let left = (self.served.rate(now) - above).max(0.0);
+        let longest = LONGEST_WAIT.as_secs_f64();
+        if left * longest <= ahead {
+            return LONGEST_WAIT;
+        }
+        Duration::from_secs_f64(ahead / left)
+    }
+
+    /// Whether a new request would wait for longer than its terms allow; the expected wait if so.
+    #[must_use]
+    pub fn overlong(&self, rank: Rank, terms: Terms, now: Time) -> Option<Duration> {
+        let wait = self.expected_wait(rank, now);
+        let allowed = terms.latest.since(now).max(LEAST_WAIT);
+        (wait > allowed).then_some(wait)
+    }
+
     /// Adds a request.
     pub fn push(&mut self, mut bid: Bid, terms: Terms, now: Time) {
         let request = bid.request;
@@ -58,7 +138,7 @@
             bid.deadline = terms.timely;
             &mut self.timely
         } else {
-            bid.deadline = terms.deadline;
+            bid.deadline = terms.latest;
             &mut self.late
         };
         queue.push(bid);
@@ -66,12 +146,18 @@
     }
 
     /// Takes out the first request that `place` finds an endpoint for.
-    pub fn next<T>(&mut self, mut place: impl FnMut(&Bid) -> Option<T>) -> Option<(Bid, T)> {
+    pub fn next<T>(
+        &mut self,
+        now: Time,
+        mut place: impl FnMut(&Bid) -> Option<T>,
+    ) -> Option<(Bid, T)> {
         for queue in [&mut self.timely, &mut self.late] {
             let found = queue.heads().find_map(|bid| place(bid).map(|at| (bid.request, at)));
             if let Some((request, at)) = found {
                 self.terms.remove(&request);
-                return queue.serve(request).map(|bid| (bid, at));
+                let bid = queue.serve(request)?;
+                self.served.add(work(&bid), now);
+                return Some((bid, at));
             }
         }
         None
@@ -88,15 +174,15 @@
         for request in self.timely.expired(now) {
             let Some(mut bid) = self.timely.remove(request) else { continue };
             if let Some(terms) = self.terms.get(&request) {
-                bid.deadline = terms.deadline;
+                bid.deadline = terms.latest;
             }
             self.late.push(bid);
         }
     }
 
-    /// Takes out the requests whose answer could not be whole any more.
+    /// Takes out the requests whose callers would not wait for the answer any more.
     pub fn expire(&mut self, now: Time) -> Vec<Bid> {
-        let expired = self.late.expired(now + LEAST_ANSWER);
+        let expired = self.late.expired(now);
         expired.into_iter().filter_map(|request| self.remove(request)).collect()
     }
 
--- /dev/null
+++ b/crates/sched/tests/line.rs
@@ -0,0 +1,102 @@
+//! A line under bursts, replayed in virtual time.
+
+use sched::{
+    Bid,
+    line::{Line, Terms},
+};
+use std::time::Duration;
+use units::{Fingerprint, InstanceId, OrganisationId, Rank, RequestId, Time, Tokens};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn bid(number: u128, rank: u8) -> Bid {
+    Bid {
+        request: RequestId::new(number),
+        holder: InstanceId::new("node").unwrap(),
+        rank: Rank(rank),
+        organisation: OrganisationId::new("org").unwrap(),
+        prompt: Tokens(0),
+        output: Tokens(99),
+        deadline: Time::ZERO,
+        prefixes: Box::default(),
+        fingerprint: Fingerprint(0),
+        suspect: false,
+    }
+}
+
+fn terms(now: Time, timely: u32, latest: u32) -> Terms {
+    Terms { timely: now + MS * timely, latest: now + MS * latest }
+}
+
+#[test]
+fn timely_request_goes_before_a_late_one_of_a_higher_tier() {
+    let mut line = Line::new();
+    line.push(bid(1, 0), terms(Time::ZERO, 100, 2_000), Time::ZERO);
+    let later = Time::from_millis(150);
+    line.push(bid(2, 2), terms(later, 100, 2_000), later);
+    line.demote(later);
+    let served = |line: &mut Line| line.next(later, |_| Some(())).unwrap().0.request.get();
+    assert_eq!((served(&mut line), served(&mut line)), (2, 1));
+}
+
+#[test]
+fn request_expires_when_its_caller_would_leave() {
+    let mut line = Line::new();
+    line.push(bid(1, 0), terms(Time::ZERO, 100, 2_000), Time::ZERO);
+    let end = Time::from_millis(2_000);
+    line.demote(end);
+    assert_eq!(line.expire(end).len(), 1);
+    assert!(line.is_empty());
+}
+
+struct Burst {
+    turned_away: [u32; 2],
+    expired: u32,
+    served: [u32; 2],
+}
+
+/// Twice the capacity arrives for four seconds, in two tiers by turns.
+fn burst(turning_away: bool) -> Burst {
+    let mut line = Line::new();
+    let mut result = Burst { turned_away: [0; 2], expired: 0, served: [0; 2] };
+    for ms in 0..6_000_u64 {
+        let now = Time::from_millis(ms);
+        if ms < 4_000 && ms % 5 == 0 {
+            let rank = u8::from(ms % 10 == 0);
+            let bid = bid(u128::from(ms), rank);
+            let terms = terms(now, 400, 2_000);
+            line.arrive(&bid, now);
+            if turning_away && line.overlong(bid.rank, terms, now).is_some() {
+                result.turned_away[usize::from(rank)] += 1;
+            } else {
+                line.push(bid, terms, now);
+            }
+        }
+        line.demote(now);
+        result.expired += u32::try_from(line.expire(now).len()).unwrap();
+        if ms % 10 == 0
+            && let Some((bid, ())) = line.next(now, |_| Some(()))
+        {
+            result.served[usize::from(bid.rank.0)] += 1;
+        }
+    }
+    result
+}
+
+/// Turning away at arrival costs no service, and spares callers a wait that ends in a refusal.
+#[test]
+fn burst_is_turned_away_when_it_arrives() {
+    let before = burst(false);
+    let after = burst(true);
+    assert!(before.expired > 100, "{} expired without turning away", before.expired);
+    assert!(after.expired * 10 < before.expired, "{} expired", after.expired);
+    let all = |burst: &Burst| burst.served[0] + burst.served[1];
+    assert!(all(&after) * 20 >= all(&before) * 19, "{} of {}", all(&after), all(&before));
+}
+
+#[test]
+fn higher_tier_is_turned_away_less() {
+    let after = burst(true);
+    assert_eq!(after.turned_away[0], 0);
+    assert!(after.served[0] >= 390, "{} of 400", after.served[0]);
+}
