Line: a tier counts on four tenths of the pace while higher tiers take all of it

While higher tiers arrive at the whole pace, the forecast for a lower tier was endless, so all of it was turned away although the burst ended within its patience. Ruled out: a wrong pace (it matches the service of the test), the window of the patience. Change: a floor of 0.4 of the pace.

--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -23,6 +23,8 @@
 
 /// Time in which what the line has seen loses half of its weight.
 const PACE_HALF_LIFE_S: f64 = 1.0;
+/// Part of the pace that a tier may count on while higher tiers take all of it: bursts end.
+const HOPE: f64 = 0.4;
 /// Wait that is never taken for too long, so that a pace measured in calm does not turn away the
 /// beginning of a burst.
 const LEAST_WAIT: Duration = Duration::from_millis(150);
@@ -115,7 +117,8 @@
         }
         let tier = usize::from(rank.0).min(TIERS - 1);
         let above: f64 = self.arrived[..tier].iter().map(|pace| pace.rate(now)).sum();
-        let left = (self.served.rate(now) - above).max(0.0);
+        let pace = self.served.rate(now);
+        let left = (pace - above).max(pace * HOPE);
         let longest = LONGEST_WAIT.as_secs_f64();
         if left * longest <= ahead {
             return LONGEST_WAIT;
