Line: three tenths of the pace, and a replay in which callers return

The replay was also wrong: it dropped callers that were turned away, while they come back once after the wait that they are told. Change: the replay lets them return; 0.3 of the pace.

--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -24,7 +24,7 @@
 /// Time in which what the line has seen loses half of its weight.
 const PACE_HALF_LIFE_S: f64 = 1.0;
 /// Part of the pace that a tier may count on while higher tiers take all of it: bursts end.
-const HOPE: f64 = 0.5;
+const HOPE: f64 = 0.3;
 /// Wait that is never taken for too long, so that a pace measured in calm does not turn away the
 /// beginning of a burst.
 const LEAST_WAIT: Duration = Duration::from_millis(150);
--- a/crates/sched/tests/line.rs
+++ b/crates/sched/tests/line.rs
@@ -4,7 +4,7 @@
     Bid,
     line::{Line, Terms},
 };
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 use units::{Fingerprint, InstanceId, OrganisationId, Rank, RequestId, Time, Tokens};
 
 const MS: Duration = Duration::from_millis(1);
@@ -55,21 +55,34 @@
     served: [u32; 2],
 }
 
-/// Twice the capacity arrives for four seconds, in two tiers by turns.
+/// Longest time after which a caller that was turned away returns, in ms.
+const LONGEST_RETURN: u64 = 3_000;
+
+/// Twice the capacity arrives for four seconds, in two tiers by turns; a caller that is turned away
+/// returns once, after the wait that it was told.
 fn burst(turning_away: bool) -> Burst {
     let mut line = Line::new();
     let mut result = Burst { turned_away: [0; 2], expired: 0, served: [0; 2] };
-    for ms in 0..6_000_u64 {
+    let mut returns: BTreeMap<u64, Vec<Bid>> = BTreeMap::new();
+    for ms in 0..9_000_u64 {
         let now = Time::from_millis(ms);
+        let mut arriving = returns.remove(&ms).unwrap_or_default();
+        let returned = arriving.len();
         if ms < 4_000 && ms % 5 == 0 {
-            let rank = u8::from(ms % 10 == 0);
-            let bid = bid(u128::from(ms), rank);
+            arriving.push(bid(u128::from(ms), u8::from(ms % 10 == 0)));
+        }
+        for (index, bid) in arriving.into_iter().enumerate() {
             let terms = terms(now, 400, 2_000);
             line.arrive(&bid, now);
-            if turning_away && line.overlong(bid.rank, terms, now).is_some() {
-                result.turned_away[usize::from(rank)] += 1;
-            } else {
-                line.push(bid, terms, now);
+            match line.overlong(bid.rank, terms, now).filter(|_| turning_away) {
+                None => line.push(bid, terms, now),
+                Some(wait) => {
+                    result.turned_away[usize::from(bid.rank.0)] += 1;
+                    if index >= returned {
+                        let wait = u64::try_from(wait.as_millis()).unwrap().min(LONGEST_RETURN);
+                        returns.entry(ms + wait.max(1)).or_default().push(bid);
+                    }
+                }
             }
         }
         line.demote(now);
