Fleet: slots dealt by demand, readers of the store, long prompts kept from slow endpoints

Ruled out: empty slots (logs: 600 to 750 requests at 600 slots from second 1 on). Change: at each digest a node is dealt a part of what is free that follows its part of the timely demand; nodes of a zone hear each other often, others less often; eight nodes read the store and tell the others what is new; usual pause by lower quartile, slowness against the median, long prompts only where streams keep their pauses; connections to an endpoint are shared among the nodes.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -20,9 +20,14 @@
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tokio::sync::watch;
-use units::{ServiceId, Time, Tokens, time::Clock};
+use tokio::sync::{Notify, watch};
+use units::{ServiceId, Time, Tokens, Version, time::Clock};
 
+/// Nodes that use one endpoint at the same time are a half of all at most, since each prefers its
+/// own availability zone.
+const CONNECTION_SPREAD: u32 = 2;
+/// Connections to an endpoint that every node may have.
+const CONNECTIONS_LEAST: u32 = 2;
 /// Endpoints that a request may crash before it is not sent again.
 const CRASHES: u8 = 3;
 
@@ -59,6 +64,14 @@
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// Whether the endpoints have been read from the store once.
     pub listed: Cell<bool>,
+    /// Newest change of the directory that was taken over.
+    pub directory: Cell<Version>,
+    /// When the store was last reached again after a failure.
+    pub store_returned: Cell<Option<Time>>,
+    /// Something that the other nodes should hear at once.
+    pub news: Notify,
+    /// Another node has seen something newer than this one.
+    pub behind: Notify,
     /// Endpoints.
     pub fleet: RefCell<Fleet>,
     /// Waiting requests.
@@ -71,6 +84,8 @@
     pub ledger: RefCell<Ledger>,
     /// Other nodes.
     pub roster: RefCell<Roster>,
+    /// Requests that waited or arrived before the last digest.
+    pub demand: Cell<u32>,
     /// Connections to endpoints.
     pub pool: Pool,
     /// Requests in progress.
@@ -88,18 +103,23 @@
     pub fn new(settings: Settings, log: Logger, dialect: Box<dyn Dialect>) -> Self {
         Self {
             desk: RefCell::new(Desk::new(settings.instance.clone())),
-            settings,
             log,
             clock: Clock::new(),
             dialect,
             metrics: Metrics::new(),
             catalog: RefCell::default(),
             listed: Cell::new(false),
+            directory: Cell::new(Version(0)),
+            store_returned: Cell::new(None),
+            news: Notify::new(),
+            behind: Notify::new(),
             fleet: RefCell::default(),
             meter: RefCell::default(),
             budgets: RefCell::default(),
             ledger: RefCell::new(Ledger::new().with_threshold(CRASHES)),
-            roster: RefCell::default(),
+            roster: RefCell::new(Roster::new(settings.instance.clone())),
+            demand: Cell::new(0),
+            settings,
             pool: Pool::new(),
             in_progress: Cell::new(0),
             held: Cell::new(0),
@@ -137,6 +157,21 @@
         self.phase() == Phase::Serving && self.catalog.borrow().is_some() && self.listed.get()
     }
 
+    /// Version of the configuration in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.catalog.borrow().as_ref().map_or(Version(0), |catalog| catalog.version)
+    }
+
+    /// Connections that this node may have to one endpoint of a service.
+    #[must_use]
+    pub fn connections(&self, service: &ServiceId) -> u32 {
+        let stated = self.catalog.borrow().as_ref().and_then(|c| c.connections(service));
+        let Some(stated) = stated else { return u32::MAX };
+        let nodes = u32::try_from(self.roster.borrow().known()).unwrap_or(u32::MAX);
+        (stated * CONNECTION_SPREAD / nodes).clamp(CONNECTIONS_LEAST, stated)
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &ServiceId) {
         let now = self.now();
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -124,6 +124,8 @@
     keys: HashMap<Box<str>, Rc<Organisation>>,
     /// Organisations by name.
     organisations: HashMap<OrganisationId, Rc<Organisation>>,
+    /// Connections that an endpoint of a service accepts from all nodes.
+    connections: HashMap<ServiceId, u32>,
     /// Bounds on what a caller may send.
     pub limits: Limits,
 }
@@ -155,6 +157,19 @@
         self
     }
 
+    /// States the connections that an endpoint of a service accepts.
+    #[must_use]
+    pub fn with_connections(mut self, service: ServiceId, connections: u32) -> Self {
+        self.connections.insert(service, connections);
+        self
+    }
+
+    /// Connections that an endpoint of a service accepts, if it is stated.
+    #[must_use]
+    pub fn connections(&self, service: &ServiceId) -> Option<u32> {
+        self.connections.get(service).copied()
+    }
+
     /// Route of a request: the longest prefix of the host that begins the path.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -38,6 +38,8 @@
     pub demand: Demand,
     /// Longest answer.
     pub output: Tokens,
+    /// Longest pause of its stream that is in time.
+    pub pause: Option<Duration>,
     /// Times that bound the wait.
     pub terms: Terms,
     /// Hash of the request.
@@ -51,6 +53,14 @@
         Demand { prompt: head.prompt.unwrap_or_default() }
     }
 
+    /// The same request under other terms, before all that have not begun.
+    #[must_use]
+    pub fn with_terms(mut self, terms: Terms) -> Self {
+        self.terms = terms;
+        self.rank = Rank(0);
+        self
+    }
+
     fn bid(&self, holder: &InstanceId) -> Bid {
         Bid {
             request: self.request,
@@ -86,6 +96,7 @@
 struct Waiter {
     reply: oneshot::Sender<Verdict>,
     avoid: Box<[EndpointId]>,
+    pause: Option<Duration>,
 }
 
 /// Waiting requests of a node.
@@ -95,13 +106,20 @@
     lines: HashMap<ServiceId, Line>,
     waiters: HashMap<RequestId, Waiter>,
     arrived: Rc<Notify>,
+    arrivals: u32,
 }
 
 impl Desk {
     /// Desk without requests.
     #[must_use]
     pub fn new(me: InstanceId) -> Self {
-        Self { me, lines: HashMap::new(), waiters: HashMap::new(), arrived: Rc::default() }
+        Self {
+            me,
+            lines: HashMap::new(),
+            waiters: HashMap::new(),
+            arrived: Rc::default(),
+            arrivals: 0,
+        }
     }
 
     /// Requests waiting.
@@ -110,6 +128,13 @@
         self.waiters.len()
     }
 
+    /// Requests that can be answered in time and wait, and those that arrived since the last call.
+    pub fn take_demand(&mut self) -> u32 {
+        let timely: usize = self.lines.values().map(Line::timely).sum();
+        let waiting = u32::try_from(timely).unwrap_or(u32::MAX);
+        waiting + std::mem::take(&mut self.arrivals)
+    }
+
     fn services(&self) -> Vec<ServiceId> {
         let busy = self.lines.iter().filter(|(_, line)| !line.is_empty());
         busy.map(|(service, _)| service.clone()).collect()
@@ -157,8 +182,7 @@
         let now = self.board.now();
         let mut fleet = self.board.fleet.borrow_mut();
         if self.read {
-            let pause = now.since(self.last) / events.max(1);
-            fleet.pause(&self.choice.endpoint, pause);
+            fleet.pause(&self.choice.endpoint, now.since(self.last), events);
         } else {
             self.read = true;
             fleet.first(&self.choice.endpoint, self.demand);
@@ -217,7 +241,8 @@
     avoid: &[EndpointId],
 ) -> Result<Flight, Refusal> {
     let (reply, verdict) = oneshot::channel();
-    let refused = enqueue(board, wanted, Waiter { reply, avoid: avoid.into() })?;
+    let refused =
+        enqueue(board, wanted, Waiter { reply, avoid: avoid.into(), pause: wanted.pause })?;
     let _place = Place { board, service: &wanted.service, request: wanted.request };
     refuse(refused);
     pump(board, &wanted.service);
@@ -238,6 +263,7 @@
     let bid = wanted.bid(&desk.me);
     let line = desk.lines.entry(wanted.service.clone()).or_default();
     line.arrive(&bid, now);
+    desk.arrivals += 1;
     if let Some(wait) = line.overlong(wanted.rank, wanted.terms, now) {
         return Err(Refusal { code: Code::QueueFull, wait });
     }
@@ -280,6 +306,7 @@
 
 fn next(board: &Rc<Board>, service: &ServiceId) -> Option<(oneshot::Sender<Verdict>, Flight)> {
     let now = board.now();
+    let connections = board.connections(service);
     let mut desk = board.desk.borrow_mut();
     let desk = &mut *desk;
     let mut fleet = board.fleet.borrow_mut();
@@ -287,9 +314,10 @@
     line.demote(now);
     let waiters = &desk.waiters;
     let (bid, choice) = line.next(now, |bid| {
-        let avoid = waiters.get(&bid.request).map_or(&[][..], |waiter| &waiter.avoid);
+        let waiter = waiters.get(&bid.request)?;
         let demand = Demand { prompt: bid.prompt };
-        fleet.pick(&Ask { service, demand, avoid }, now)
+        let (avoid, pause) = (&*waiter.avoid, waiter.pause);
+        fleet.pick(&Ask { service, demand, avoid, connections, pause }, now)
     })?;
     let waiter = desk.waiters.remove(&bid.request)?;
     let demand = Demand { prompt: bid.prompt };
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,7 +9,7 @@
     answer,
     board::{Board, Phase},
     caller,
-    catalog::{Kind, Organisation, Route},
+    catalog::{Organisation, Route},
     desk::{self, Flight, Refusal, Wanted},
     dialect::Stamp,
     pool::Connection,
@@ -225,7 +225,9 @@
     response
 }
 
-fn millis(span: Duration) -> u64 {
+/// Whole milliseconds, for logs.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -316,6 +318,7 @@
         organisation: organisation.map_or_else(anonymous, |o| o.id.clone()),
         demand,
         output: head.output.unwrap_or_default(),
+        pause: route.pause.filter(|_| route.kind.is_stream()),
         terms: Terms { timely, latest },
         fingerprint,
     }
@@ -460,7 +463,6 @@
             "failure" => format!("{failure:?}"), "runs" => self.runs);
         board.metrics.count("attempt_failed", failure.name());
         self.tried.push(endpoint.clone());
-        let kind = intake.route.kind;
         match failure {
             Failure::Unsent(cause) => {
                 self.unsent += 1;
@@ -476,8 +478,9 @@
                 return Err(self.refused(Code::QueueFull, &format!("endpoint answered {status}")));
             }
             Failure::Lost(cause) => {
+                let again = self.may_run_again(intake);
                 self.runs += 1;
-                if !kind.is_repeatable() || self.runs >= intake.route.attempts {
+                if !again {
                     return Err(Refused::new(Code::AnswerCut, cause.clone()));
                 }
             }
@@ -492,6 +495,12 @@
         }
     }
 
+    /// Whether the request may run at one more endpoint, the budget of repeats aside.
+    #[must_use]
+    pub fn may_run_again(&self, intake: &Intake) -> bool {
+        intake.route.kind.is_repeatable() && self.runs + 1 < intake.route.attempts
+    }
+
     /// Refusal of a request that found no endpoint.
     fn turned_away(&self, intake: &Intake, refusal: Refusal, now: Time) -> Refused {
         let left = intake.deadline.since(now);
@@ -603,13 +612,18 @@
         let not_run = matches!(failure, Failure::NotRun(_));
         flight.end(if not_run { Outcome::Full } else { Outcome::Failed });
         if not_run && body.collect().await.is_ok() {
-            board.pool.put(connection, head.keep_alive, board.now());
+            board.pool.put(connection, head.keep_alive, idle(board, intake), board.now());
         }
         return Err(failure);
     }
     Ok(Answered { flight, connection, head, parts, body })
 }
 
+/// Idle connections that are kept to an endpoint of a request's service.
+pub fn idle(board: &Board, intake: &Intake) -> u32 {
+    board.connections(&intake.wanted.service)
+}
+
 /// Ends a flight whose connection broke before the head of an answer.
 async fn broken(
     board: &Rc<Board>,
@@ -728,14 +742,13 @@
         Err(_) => return Err(Failure::TimedOut),
     };
     let now = board.now();
-    board.pool.put(connection, head.keep_alive, now);
+    board.pool.put(connection, head.keep_alive, idle(board, intake), now);
     flight.heard(1);
     let took = now.since(flight.since);
     let failed = parts.status.is_server_error();
     let endpoint = flight.endpoint().clone();
     flight.end(if failed { Outcome::Failed } else { Outcome::Whole });
-    let again = intake.route.kind == Kind::Idempotent && history.runs + 1 < intake.route.attempts;
-    if failed && again && board.may_repeat(&intake.wanted.service) {
+    if failed && history.may_run_again(intake) && board.may_repeat(&intake.wanted.service) {
         return Err(Failure::Lost(format!("endpoint answered {}", parts.status).into()));
     }
     if !intake.route.kind.is_repeatable() && promises_not_run(parts.status) {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -7,6 +7,13 @@
 //! A digest carries sums and present values, never changes, so that a lost
 //! one costs nothing but its age.
 //!
+//! Those in the same availability zone hear each other often, the others less
+//! often: the first compete for the same endpoints, the others only when their
+//! own are full.
+//!
+//! A few nodes, found by rendezvous hashing over those that are heard, read
+//! the store for all; see [`crate::watch`].
+//!
 //! Nodes find each other by their rows in the store. The store also holds the
 //! secret with which datagrams are authenticated: whoever cannot read the
 //! store cannot make a digest that is taken over.
@@ -14,27 +21,36 @@
 use crate::{
     board::Board,
     desk,
-    watch::{self, Fault, Store, Table},
+    watch::{self, Fault, RETURN, Store, Table},
 };
 use anyhow::{Context, Result, ensure};
 use codes::Event;
 use hmac::{Hmac, Mac};
 use rand::Rng;
-use sched::{fleet::Share, quota::Total};
+use sched::{
+    fleet::{Distance, Share},
+    quota::Total,
+};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use slog::info;
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::net::UdpSocket;
-use units::{EndpointId, Fingerprint, InstanceId, OrganisationId, Time, Tokens};
+use units::{EndpointId, Fingerprint, InstanceId, OrganisationId, Time, Tokens, Version, ZoneId};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Shortest interval between two digests.
 const INTERVAL_MIN: Duration = Duration::from_millis(100);
 /// Interval for each other node: the budget of datagrams that a node receives is 70 a second.
 const INTERVAL_PER_NODE: Duration = Duration::from_millis(14);
-/// Digests without news that are left out between two that are sent.
-const IDLE_SKIPS: u32 = 4;
+/// Longest time without a digest to a node near.
+const IDLE_MOST: Duration = Duration::from_millis(500);
+/// Other nodes up to which all are told as often as those near.
+const SMALL: usize = 16;
+/// Nodes that follow the store for all.
+const READERS: usize = 8;
+/// Key of the readers' rendezvous.
+const READER_KEY: &str = "store readers";
 /// Time without a digest after which a node is not heard.
 const HEARD: Duration = Duration::from_millis(2_500);
 /// Time without a digest after which a node is no longer counted on.
@@ -67,8 +83,18 @@
     pub lifetime: u64,
     /// Number of the digest within the lifetime.
     pub number: u64,
+    /// Availability zone of the node.
+    pub zone: ZoneId,
     /// Whether the node leaves.
     pub leaving: bool,
+    /// Version of the configuration that it has in force.
+    pub configuration: Version,
+    /// Newest change of the directory that it has taken over.
+    pub directory: Version,
+    /// Whether the store came back so recently that entries may be missing.
+    pub returned: bool,
+    /// Requests waiting and those that have just arrived.
+    pub demand: u32,
     /// Requests in flight.
     pub loads: Box<[Load]>,
     /// Tokens admitted since the start of the process.
@@ -109,6 +135,11 @@
 }
 
 impl Digest {
+    /// Whether there is nothing new in a later digest.
+    fn says_the_same(&self, later: &Self) -> bool {
+        self.loads == later.loads && self.spent == later.spent && self.strikes == later.strikes
+    }
+
     /// Datagram with its code of authenticity.
     ///
     /// # Errors
@@ -153,6 +184,11 @@
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    near: bool,
+    demand: u32,
+    configuration: Version,
+    directory: Version,
+    returned: bool,
     lifetime: u64,
     number: u64,
     heard: Option<Time>,
@@ -165,14 +201,41 @@
     }
 }
 
+/// What other nodes have seen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Configuration in force.
+    pub configuration: Version,
+    /// Change of the directory.
+    pub directory: Version,
+    /// Whether the store came back so recently that entries may be missing.
+    pub returned: bool,
+}
+
+/// This node's part of the demand.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Parts {
+    /// Among the nodes of its availability zone.
+    pub near: f64,
+    /// Among all nodes.
+    pub all: f64,
+}
+
 /// Other nodes.
 #[derive(Debug, Default)]
 pub struct Roster {
+    me: Option<InstanceId>,
     peers: HashMap<InstanceId, Peer>,
     secret: Option<Box<[u8]>>,
 }
 
 impl Roster {
+    /// Roster of a node that knows no other.
+    #[must_use]
+    pub fn new(me: InstanceId) -> Self {
+        Self { me: Some(me), ..Self::default() }
+    }
+
     /// Nodes that are counted on, this one included.
     #[must_use]
     pub fn known(&self) -> usize {
@@ -182,8 +245,7 @@
     /// Other nodes that are heard.
     #[must_use]
     pub fn heard(&self, now: Time) -> usize {
-        let heard = |peer: &&Peer| peer.heard.is_some_and(|at| now.since(at) < HEARD);
-        self.peers.values().filter(heard).count()
+        self.heard_peers(now).count()
     }
 
     /// Part of the nodes counted on that are heard, this one included.
@@ -200,13 +262,24 @@
             peer.address = address;
             return moved;
         }
-        let peer = Peer { address, lifetime: 0, number: 0, heard: None, known_since: now };
+        let peer = Peer {
+            address,
+            near: false,
+            demand: 0,
+            configuration: Version(0),
+            directory: Version(0),
+            returned: false,
+            lifetime: 0,
+            number: 0,
+            heard: None,
+            known_since: now,
+        };
         self.peers.insert(id.clone(), peer);
         true
     }
 
     /// Whether a digest is newer than what was heard of its node; notes it if so.
-    pub fn accept(&mut self, digest: &Digest, from: SocketAddr, now: Time) -> bool {
+    pub fn accept(&mut self, digest: &Digest, from: SocketAddr, zone: &ZoneId, now: Time) -> bool {
         self.meet(&digest.from, from, now);
         let Some(peer) = self.peers.get_mut(&digest.from) else { return false };
         if (digest.lifetime, digest.number) <= (peer.lifetime, peer.number) {
@@ -215,9 +288,59 @@
         peer.lifetime = digest.lifetime;
         peer.number = digest.number;
         peer.heard = Some(now);
+        peer.near = digest.zone == *zone;
+        peer.demand = digest.demand;
+        peer.configuration = digest.configuration;
+        peer.directory = digest.directory;
+        peer.returned = digest.returned;
         true
     }
 
+    fn heard_peers(&self, now: Time) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        let heard = move |peer: &Peer| peer.heard.is_some_and(|at| now.since(at) < HEARD);
+        self.peers.iter().filter(move |(_, peer)| heard(peer))
+    }
+
+    /// Newest that the other nodes have seen.
+    #[must_use]
+    pub fn told(&self, now: Time) -> Told {
+        self.heard_peers(now).fold(Told::default(), |told, (_, peer)| Told {
+            configuration: told.configuration.max(peer.configuration),
+            directory: told.directory.max(peer.directory),
+            returned: told.returned || peer.returned,
+        })
+    }
+
+    /// Whether this node is one of those that follow the store.
+    #[must_use]
+    pub fn reads(&self, now: Time) -> bool {
+        let score = |id: &InstanceId| units::score(id.as_str(), READER_KEY);
+        let Some(me) = &self.me else { return true };
+        let mine = score(me);
+        self.heard_peers(now).filter(|(id, _)| score(id) > mine).count() < READERS
+    }
+
+    /// Part of the demand of all nodes that is this node's: in its zone, and in all.
+    #[must_use]
+    pub fn parts(&self, demand: u32, now: Time) -> Parts {
+        let mine = f64::from(demand.max(1));
+        let mut near = mine;
+        let mut all = mine;
+        for (_, peer) in self.heard_peers(now) {
+            let theirs = f64::from(peer.demand.max(1));
+            all += theirs;
+            if peer.near {
+                near += theirs;
+            }
+        }
+        Parts { near: mine / near, all: mine / all }
+    }
+
+    /// Whether every node is told as often as those near.
+    fn is_small(&self) -> bool {
+        self.peers.len() <= SMALL
+    }
+
     /// Removes a node that leaves.
     pub fn remove(&mut self, id: &InstanceId) {
         self.peers.remove(id);
@@ -233,8 +356,15 @@
         silent
     }
 
-    fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
+    fn addresses(&self, all: bool) -> Vec<SocketAddr> {
+        let told = self.peers.values().filter(|peer| all || peer.near);
+        told.map(|peer| peer.address).collect()
+    }
+
+    /// Nodes that are told often, this one included.
+    fn near(&self) -> usize {
+        let near = self.peers.values().filter(|peer| peer.near).count();
+        1 + if self.is_small() { self.peers.len() } else { near }
     }
 }
 
@@ -258,7 +388,7 @@
 }
 
 async fn read_rows<S: Store>(board: &Board, store: &S) -> Result<(), Fault> {
-    let (rows, _) = watch::read_whole(store, Table::Nodes, units::Version(0)).await?;
+    let (rows, _) = watch::read_whole(store, Table::Nodes, Version(0)).await?;
     let now = board.now();
     let mut secret = None;
     for row in &rows {
@@ -318,12 +448,14 @@
     };
     let now = board.now();
     if digest.from == board.settings.instance
-        || !board.roster.borrow_mut().accept(&digest, from, now)
+        || !board.roster.borrow_mut().accept(&digest, from, &board.settings.zone, now)
     {
         return;
     }
     take_over(board, &digest, now);
-    desk::pump_all(board);
+    if digest.configuration > board.version() || digest.directory > board.directory.get() {
+        board.behind.notify_waiters();
+    }
 }
 
 fn take_over(board: &Board, digest: &Digest, now: Time) {
@@ -358,32 +490,62 @@
     }
 }
 
-/// Tells the other nodes what this one has in flight.
+/// Deals this node its part of what is free, and tells the other nodes what it has in flight.
 pub async fn speak(board: Rc<Board>, socket: Rc<UdpSocket>) {
     let mut number = 0;
     let mut last: Option<Digest> = None;
-    let mut skipped = 0;
+    let mut told_near = Time::ZERO;
+    let mut told_all = Time::ZERO;
     loop {
-        let nodes = u32::try_from(board.roster.borrow().known()).unwrap_or(u32::MAX);
-        tokio::time::sleep(INTERVAL_MIN.max(INTERVAL_PER_NODE * nodes)).await;
+        let interval = intervals(&board.roster.borrow());
+        // News are told at once, everything else at the interval.
+        let news = tokio::time::timeout(interval.near, board.news.notified()).await.is_ok();
         forget(&board);
+        deal(&board);
         number += 1;
         let digest = digest(&board, number);
-        let same = last.as_ref().is_some_and(|last| {
-            last.loads == digest.loads
-                && last.spent == digest.spent
-                && last.strikes == digest.strikes
-        });
-        if same && skipped < IDLE_SKIPS {
-            skipped += 1;
+        let now = board.now();
+        let due = news || now.since(told_all) >= interval.all;
+        let same = last.as_ref().is_some_and(|last| last.says_the_same(&digest));
+        if !due && same && now.since(told_near) < IDLE_MOST {
             continue;
         }
-        skipped = 0;
-        send(&board, &socket, &digest).await;
+        told_near = now;
+        if due {
+            told_all = now;
+        }
+        send(&board, &socket, &digest, due).await;
         last = Some(digest);
     }
 }
 
+struct Intervals {
+    near: Duration,
+    all: Duration,
+}
+
+fn intervals(roster: &Roster) -> Intervals {
+    let span = |nodes: usize| {
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        INTERVAL_MIN.max(INTERVAL_PER_NODE * nodes)
+    };
+    Intervals { near: span(roster.near()), all: span(roster.known()) }
+}
+
+fn deal(board: &Rc<Board>) {
+    let now = board.now();
+    let demand = board.desk.borrow_mut().take_demand();
+    board.demand.set(demand);
+    let parts = board.roster.borrow().parts(demand, now);
+    let small = board.roster.borrow().is_small();
+    let part = |distance| match distance {
+        Distance::Zone if !small => parts.near,
+        _ => parts.all,
+    };
+    board.fleet.borrow_mut().deal(part, rand::random, now);
+    desk::pump_all(board);
+}
+
 fn forget(board: &Board) {
     let gone = board.roster.borrow_mut().forget(board.now());
     for id in gone {
@@ -415,17 +577,22 @@
         from: board.settings.instance.clone(),
         lifetime: board.lifetime,
         number,
+        zone: board.settings.zone.clone(),
         leaving: false,
+        configuration: board.version(),
+        directory: board.directory.get(),
+        returned: board.store_returned.get().is_some_and(|at| board.now().since(at) < RETURN),
+        demand: board.demand.get(),
         loads: loads.collect(),
         spent: spent.into(),
         strikes: strikes.collect(),
     }
 }
 
-async fn send(board: &Board, socket: &UdpSocket, digest: &Digest) {
+async fn send(board: &Board, socket: &UdpSocket, digest: &Digest, all: bool) {
     let (secret, addresses) = {
         let roster = board.roster.borrow();
-        (roster.secret.clone(), roster.addresses())
+        (roster.secret.clone(), roster.addresses(all || roster.is_small()))
     };
     let Some(secret) = secret else { return };
     let datagram = match digest.seal(&secret) {
@@ -442,5 +609,5 @@
 /// Tells the other nodes that this one leaves.
 pub async fn leave(board: &Board, socket: &UdpSocket) {
     let digest = Digest { leaving: true, ..digest(board, u64::MAX) };
-    send(board, socket, &digest).await;
+    send(board, socket, &digest, true).await;
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -101,12 +101,13 @@
         Some(waiting.remove(at).sender)
     }
 
-    /// Takes back a connection whose answer was whole.
-    pub fn put(&self, connection: Connection, keep_alive: Option<Duration>, now: Time) {
+    /// Takes back a connection whose answer was whole, unless `most` are idle already.
+    pub fn put(&self, connection: Connection, keep_alive: Option<Duration>, most: u32, now: Time) {
         let kept_for = keep_alive.map_or(IDLE_DEFAULT, |span| span.saturating_sub(IDLE_MARGIN));
         let mut idle = self.idle.borrow_mut();
         let waiting = idle.entry(connection.address).or_default();
-        if waiting.len() < MAX_IDLE && !kept_for.is_zero() {
+        let most = usize::try_from(most).unwrap_or(usize::MAX).min(MAX_IDLE);
+        if waiting.len() < most && !kept_for.is_zero() {
             let until = now + kept_for;
             waiting.push(Idle { sender: connection.sender, since: now, until });
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -18,7 +18,7 @@
 use codes::Event;
 use http_body::Body as _;
 use hyper::body::Incoming;
-use sched::fleet::Outcome;
+use sched::{fleet::Outcome, line::Terms};
 use slog::info;
 use std::{
     fmt,
@@ -34,6 +34,9 @@
 /// Silence after which a resumable stream is continued elsewhere; callers leave after two seconds.
 const SILENCE: Duration = Duration::from_millis(1_300);
 
+/// Time to find another endpoint for a stream that broke off, within the callers' two seconds.
+const RESUME_WITHIN: Duration = Duration::from_millis(1_200);
+
 /// A stream ended before it was complete.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("stream broken: {0}")]
@@ -91,6 +94,9 @@
     heard: Time,
     first: Option<Time>,
     events: u64,
+    longest_pause: Duration,
+    /// Whether silence no longer counts, since no other endpoint may be asked.
+    patient: bool,
     in_progress: bool,
 }
 
@@ -109,6 +115,8 @@
             heard: now,
             first: None,
             events: 0,
+            longest_pause: Duration::ZERO,
+            patient: false,
             in_progress: false,
             timer,
             board,
@@ -186,7 +194,7 @@
                     return Poll::Ready(None);
                 }
                 Stop::TimedOut => return Poll::Ready(Some(Err(self.cut("deadline".into())))),
-                Stop::Silent => self.resume("silent".into())?,
+                Stop::Silent => self.leave_silent()?,
                 Stop::Broken(cause) => self.resume(cause)?,
             }
         }
@@ -237,7 +245,7 @@
             }
             let resumable = self.intake.route.kind == Kind::ResumableStream;
             let mut until = self.intake.deadline;
-            if resumable && self.first.is_some() {
+            if resumable && self.first.is_some() && !self.patient {
                 let silent = self.heard + SILENCE;
                 if now >= silent {
                     return Poll::Ready(Stop::Silent);
@@ -255,6 +263,9 @@
 
     fn note(&mut self, count: u32) {
         let now = self.board.now();
+        if self.first.is_some() {
+            self.longest_pause = self.longest_pause.max(now.since(self.heard));
+        }
         self.heard = now;
         self.events += u64::from(count);
         if self.first.is_none() {
@@ -270,13 +281,15 @@
         let first = self.first.unwrap_or(now).since(self.intake.arrived);
         info!(self.board.log, "answered"; Event::Answered,
             "request" => &*self.intake.head.attempt, "endpoint" => %leg.flight.endpoint(),
-            "first_ms" => u64::try_from(first.as_millis()).unwrap_or(u64::MAX),
-            "total_ms" => now.since(self.intake.arrived).as_millis().to_string(),
+            "first_ms" => exchange::millis(first),
+            "longest_pause_ms" => exchange::millis(self.longest_pause),
+            "total_ms" => exchange::millis(now.since(self.intake.arrived)),
             "events" => self.events, "prompt" => self.intake.wanted.demand.prompt.get(),
             "output" => self.intake.wanted.output.get(), "runs" => self.history.runs + 1);
         self.board.metrics.count("answered", "stream");
         self.board.metrics.time("answer", now.since(self.intake.arrived));
-        self.board.pool.put(leg.connection, leg.keep_alive, now);
+        let most = exchange::idle(&self.board, &self.intake);
+        self.board.pool.put(leg.connection, leg.keep_alive, most, now);
         leg.flight.end(Outcome::Whole);
     }
 
@@ -289,6 +302,16 @@
         Cut(cause)
     }
 
+    /// Continues a silent stream elsewhere if that is allowed; otherwise goes on waiting, since an
+    /// endpoint's silence alone ends no answer.
+    fn leave_silent(&mut self) -> Result<(), Cut> {
+        if self.history.may_run_again(&self.intake) {
+            return self.resume("silent".into());
+        }
+        self.patient = true;
+        Ok(())
+    }
+
     /// Continues at another endpoint, or ends the answer as broken.
     fn resume(&mut self, cause: Box<str>) -> Result<(), Cut> {
         let State::Reading(leg) = std::mem::replace(&mut self.state, State::Ended) else {
@@ -335,14 +358,21 @@
     }
 }
 
+/// Terms of a stream that goes on: its caller has been waiting since the last event.
+fn resumption(intake: &Intake, now: Time) -> Terms {
+    let latest = (now + RESUME_WITHIN).min(intake.deadline);
+    Terms { timely: latest, latest }
+}
+
 async fn next_leg(
     board: Rc<Board>,
     intake: Rc<Intake>,
     mut history: History,
     last: Option<u64>,
 ) -> Result<(Leg, History), Box<str>> {
+    let wanted = intake.wanted.clone().with_terms(resumption(&intake, board.now()));
     loop {
-        let flight = desk::place(&board, &intake.wanted, &history.tried).await;
+        let flight = desk::place(&board, &wanted, &history.tried).await;
         let flight = flight.map_err(|refusal| refusal.code.to_string())?;
         let endpoint = flight.endpoint().clone();
         let sent = exchange::send(&board, &intake, flight, last).await;
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -5,6 +5,11 @@
 //! A page that is older than what was seen before is not taken over. While the
 //! store cannot be reached, everything that was known stays in force.
 //!
+//! Few nodes follow the store for all: those that [`crate::peers`] names
+//! readers. They tell the others which versions they have seen, and each reads
+//! the table itself when it is behind. The store is asked at a rate that does
+//! not grow with the number of nodes, but for one read a node and change.
+//!
 //! Entries of endpoints may lapse while the store is away, and come back
 //! shortly after its return: an entry that goes missing around that time is
 //! used for [`RETURN`] more.
@@ -35,8 +40,12 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
 /// Longest pause after a failed call.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Interval at which a node that is no reader looks whether it should be one.
+const ROLE_CHECK: Duration = Duration::from_millis(500);
+/// Longest time that a node relies on readers before it reads by itself.
+const RELIANCE: Duration = Duration::from_secs(10);
 /// Time after the store's return in which lapsed entries come back.
-const RETURN: Duration = Duration::from_millis(2_200);
+pub const RETURN: Duration = Duration::from_millis(2_200);
 
 /// Table of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +65,8 @@
     pub key: Box<str>,
     /// Value; none when the row was deleted.
     pub value: Option<Bytes>,
+    /// Version of the store at which the row was changed last.
+    pub version: Version,
 }
 
 /// Rows as of one moment, or changes up to it.
@@ -170,8 +181,7 @@
     position: Position,
     reached: bool,
     backoff: Duration,
-    /// When the store was reached again after a failure.
-    returned: Option<Time>,
+    read_at: Time,
 }
 
 impl Follower {
@@ -182,7 +192,7 @@
             position: Position::Unread(Version(0)),
             reached: true,
             backoff: BACKOFF_MIN,
-            returned: None,
+            read_at: Time::ZERO,
         }
     }
 
@@ -190,15 +200,22 @@
     async fn next<S: Store>(&mut self, board: &Board, store: &S) -> News {
         loop {
             let step = match self.position {
-                Position::Unread(least) => {
-                    let read = read_whole(store, self.table, least).await;
-                    read.map(|(rows, version)| (News::Whole(rows), version))
-                }
-                Position::Following(after) => {
+                Position::Following(after) if board.roster.borrow().reads(board.now()) => {
                     let followed = store.follow(self.table, after, self.wait).await;
                     followed.map(|page| (News::Changes(page.rows), page.version.max(after)))
                 }
+                Position::Following(_) if !self.is_behind(board) => {
+                    // Whichever comes first: news, or the time to look at the role again.
+                    let behind = board.behind.notified();
+                    tokio::time::timeout(ROLE_CHECK, behind).await.ok();
+                    continue;
+                }
+                Position::Following(least) | Position::Unread(least) => {
+                    let read = read_whole(store, self.table, least).await;
+                    read.map(|(rows, version)| (News::Whole(rows), version))
+                }
             };
+            self.read_at = board.now();
             match step {
                 Ok((news, version)) => {
                     self.position = Position::Following(version);
@@ -210,11 +227,23 @@
         }
     }
 
+    /// Whether another node has seen something newer, or nobody was asked for too long.
+    fn is_behind(&self, board: &Board) -> bool {
+        let now = board.now();
+        let told = board.roster.borrow().told(now);
+        let newer = match self.table {
+            Table::Configuration => told.configuration > board.version(),
+            Table::Endpoints => told.directory > board.directory.get(),
+            Table::Nodes => false,
+        };
+        newer || now.since(self.read_at) > RELIANCE
+    }
+
     fn note_reached(&mut self, board: &Board) {
         self.backoff = BACKOFF_MIN;
         if !self.reached {
             self.reached = true;
-            self.returned = Some(board.now());
+            board.store_returned.set(Some(board.now()));
             info!(board.log, "store reached"; Event::StoreUp,
                 "table" => format!("{:?}", self.table));
         }
@@ -238,8 +267,10 @@
         self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
     }
 
-    fn has_just_returned(&self, now: Time) -> bool {
-        !self.reached || self.returned.is_some_and(|at| now.since(at) < RETURN)
+    /// Whether the store came back so recently, here or at a reader, that entries may be missing.
+    fn has_just_returned(&self, board: &Board, now: Time) -> bool {
+        let here = board.store_returned.get().is_some_and(|at| now.since(at) < RETURN);
+        here || !self.reached || board.roster.borrow().told(now).returned
     }
 }
 
@@ -271,6 +302,7 @@
         "version" => catalog.version.get(), "before" => before.map(Version::get),
         "routes" => catalog.len());
     *board.catalog.borrow_mut() = Some(Rc::new(catalog));
+    board.news.notify_one();
 }
 
 /// Keeps the list of endpoints.
@@ -284,7 +316,9 @@
         for id in take_over(&board, &*store, news) {
             missing.entry(id).or_insert(now);
         }
-        let wait = follower.has_just_returned(now);
+        let told = board.roster.borrow().told(now).directory;
+        board.directory.set(board.directory.get().max(told));
+        let wait = follower.has_just_returned(&board, now);
         missing.retain(|id, since| {
             if is_listed_again(&board, id, *since) {
                 return false;
@@ -307,6 +341,14 @@
     board.fleet.borrow().listed_at(id).is_some_and(|at| at > since)
 }
 
+/// Notes a change of the directory, for the other nodes to hear.
+fn note_change(board: &Board, version: Version) {
+    if version > board.directory.get() {
+        board.directory.set(version);
+        board.news.notify_one();
+    }
+}
+
 fn remove(board: &Board, id: &EndpointId) {
     if board.fleet.borrow_mut().remove(id) {
         info!(board.log, "endpoint gone"; Event::EndpointLeaving, "endpoint" => %id,
@@ -325,11 +367,12 @@
     for row in rows {
         let Ok(id) = EndpointId::new(&row.key) else { continue };
         let Some(value) = row.value else {
+            note_change(board, row.version);
             missing.push(id);
             continue;
         };
         match store.listing(&row.key, &value) {
-            Ok(listing) => list(board, listing),
+            Ok(listing) => list(board, listing, row.version),
             Err(e) => {
                 info!(board.log, "entry ignored"; Event::EntryIgnored, "endpoint" => %id,
                     "error" => format!("{e:#}"));
@@ -345,7 +388,7 @@
     missing
 }
 
-fn list(board: &Board, listing: Listing) {
+fn list(board: &Board, listing: Listing, version: Version) {
     let distance = board.settings.distance(&listing.zone);
     let mut fleet = board.fleet.borrow_mut();
     let known = fleet.address(&listing.id).is_some();
@@ -355,6 +398,7 @@
     if !fleet.list(listing, distance, board.now()) {
         return;
     }
+    note_change(board, version);
     let event = if leaving { Event::EndpointLeaving } else { Event::EndpointJoined };
     info!(board.log, "endpoint listed"; event, "endpoint" => %id, "service" => %service,
         "leaving" => leaving, "known" => known);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -9,9 +9,18 @@
 //!
 //! The expected time to a first answer is
 //! `distance + slowness × (base + unread prompt tokens × cost)`. Slowness is
-//! learned from the pauses between the events of running streams, and
-//! corrected for some hundred milliseconds by the pace that the endpoint
-//! itself reports.
+//! the usual pause between the events of an endpoint's streams against the
+//! median of its service, corrected for some hundred milliseconds by the pace
+//! that the endpoint itself reports.
+//!
+//! An endpoint reads a prompt in pieces between the events of its streams. On
+//! a slow endpoint a long prompt stretches the pauses of all streams beyond
+//! their target, so it goes to a faster one and leaves the slot to a short one.
+//!
+//! What is free at an endpoint is free for every node that can see it. At each
+//! digest, a node is therefore dealt a part of the free slots that follows its
+//! part of the demand, and takes no more of them until the next one; a slot
+//! that its own request leaves is its own again.
 //!
 //! Invariants:
 //! * an endpoint that is leaving or gone is never chosen;
@@ -27,6 +36,8 @@
 
 /// Slots of an endpoint that does not state them.
 const UNKNOWN_SLOTS: u32 = 4;
+/// Slots that a node may take at an endpoint that it has just heard of.
+const DEALT_UNSEEN: u32 = 1;
 /// Time to a first answer without its prompt, in ms.
 const BASE_MS: f64 = 10.0;
 /// Time to read one prompt token on an endpoint of usual speed, in ms; the engines' data sheet.
@@ -37,14 +48,18 @@
 const CROWD_MS: f64 = 30.0;
 /// Expected time added for an endpoint that fails every request, in ms.
 const FAILURE_MS: f64 = 1_500.0;
-/// Slowness above which a long prompt makes the pauses of other streams late.
-const SLUGGISH: f64 = 1.6;
-/// Prompt length that a sluggish endpoint reads without late pauses, in tokens.
-const SLUGGISH_PROMPT: f64 = 3_000.0;
-/// Expected time added for each token beyond it, in ms.
-const SLUGGISH_TOKEN_MS: f64 = 0.03;
-/// Weight of a new pause in the learned pause.
-const PAUSE_WEIGHT: f64 = 0.1;
+/// Longest stretch of a pause by reading, in usual pauses: a piece of a prompt takes five times as
+/// long as the step between two pieces.
+const READING_STRETCH: f64 = 5.0;
+/// Part of a stream's target that a pause may be expected to take.
+const PAUSE_MARGIN: f64 = 0.9;
+/// Slowness up to which an endpoint takes prompts of any length.
+const BRISK: f64 = 1.25;
+/// Step by which the usual pause follows a longer one; it follows a shorter one by three steps, so
+/// that it settles at the lower quartile, which pauses during reading do not reach.
+const PAUSE_STEP: f64 = 0.02;
+/// Most events that one pause is divided by.
+const PAUSE_EVENTS: f64 = 8.0;
 /// Bounds of the learned slowness.
 const SLOWNESS: (f64, f64) = (0.3, 8.0);
 /// Time in which a reported pace loses half of its weight.
@@ -139,6 +154,10 @@
     pub demand: Demand,
     /// Endpoints that it was sent to before.
     pub avoid: &'a [EndpointId],
+    /// Connections that this node may have to one endpoint.
+    pub connections: u32,
+    /// Longest pause of streams at the endpoint that is in time.
+    pub pause: Option<Duration>,
 }
 
 /// Endpoint that was chosen.
@@ -177,6 +196,7 @@
     distance: Distance,
     listed_at: Time,
     own: Share,
+    dealt: u32,
     peers: HashMap<InstanceId, (Share, Time)>,
     pause_ms: Option<f64>,
     pace: f64,
@@ -194,6 +214,7 @@
             distance,
             listed_at: Time::ZERO,
             own: Share::default(),
+            dealt: DEALT_UNSEEN,
             peers: HashMap::new(),
             pause_ms: None,
             pace: 1.0,
@@ -242,6 +263,13 @@
     0.5f64.powf(age.as_secs_f64() / half_life_s)
 }
 
+/// Whether the streams at an endpoint keep their pauses while it reads.
+fn keeps_pauses(endpoint: &Endpoint, ask: &Ask<'_>, reading_ms: f64) -> bool {
+    let (Some(target), Some(usual)) = (ask.pause, endpoint.pause_ms) else { return true };
+    let expected = usual + reading_ms.min(READING_STRETCH * usual);
+    expected <= PAUSE_MARGIN * target.as_secs_f64() * 1_000.0
+}
+
 #[allow(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
 fn tokens(count: Tokens) -> f64 {
     count.0 as f64
@@ -251,7 +279,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     endpoints: BTreeMap<EndpointId, Endpoint>,
-    usual_pause_ms: f64,
+    usual_ms: HashMap<ServiceId, f64>,
 }
 
 impl Fleet {
@@ -359,37 +387,50 @@
             return false;
         }
         let load = endpoint.load(now);
-        if load.flights >= endpoint.slots() {
+        if load.flights >= endpoint.slots()
+            || endpoint.dealt == 0
+            || endpoint.own.flights >= ask.connections
+        {
             return false;
         }
         let unread = tokens(load.unread);
-        let reading_ms = (unread + tokens(ask.demand.prompt)) * TOKEN_MS * self.slowness(endpoint);
-        unread <= 0.0 || reading_ms <= UNREAD_MS
+        let slowness = self.slowness(endpoint);
+        let reading_ms = (unread + tokens(ask.demand.prompt)) * TOKEN_MS * slowness;
+        (unread <= 0.0 || reading_ms <= UNREAD_MS)
+            && (slowness <= BRISK || keeps_pauses(endpoint, ask, reading_ms))
     }
 
     fn slowness(&self, endpoint: &Endpoint) -> f64 {
-        match endpoint.pause_ms {
-            Some(pause) if self.usual_pause_ms > 0.0 => {
-                (pause / self.usual_pause_ms).clamp(SLOWNESS.0, SLOWNESS.1)
-            }
+        let usual = self.usual_ms.get(&endpoint.listing.service);
+        match (endpoint.pause_ms, usual) {
+            (Some(pause), Some(usual)) => (pause / usual).clamp(SLOWNESS.0, SLOWNESS.1),
             _ => 1.0,
         }
     }
 
+    /// Median of the endpoints' usual pauses, by service.
+    fn learn_usual(&mut self) {
+        let mut pauses: HashMap<&ServiceId, Vec<f64>> = HashMap::new();
+        for endpoint in self.endpoints.values() {
+            if let Some(pause) = endpoint.pause_ms {
+                pauses.entry(&endpoint.listing.service).or_default().push(pause);
+            }
+        }
+        let median = |(service, mut pauses): (&ServiceId, Vec<f64>)| {
+            pauses.sort_by(f64::total_cmp);
+            (service.clone(), pauses[pauses.len() / 2].max(f64::MIN_POSITIVE))
+        };
+        self.usual_ms = pauses.into_iter().map(median).collect();
+    }
+
     fn cost(&self, endpoint: &Endpoint, ask: &Ask<'_>, now: Time) -> f64 {
         let load = endpoint.load(now);
         let slowness = self.slowness(endpoint) * endpoint.pace(now);
         let prompt = tokens(ask.demand.prompt);
         let reading = (tokens(load.unread) + prompt) * TOKEN_MS;
         let crowd = CROWD_MS * f64::from(load.flights) / f64::from(endpoint.slots());
-        let sluggish = if slowness > SLUGGISH {
-            SLUGGISH_TOKEN_MS * (prompt - SLUGGISH_PROMPT).max(0.0)
-        } else {
-            0.0
-        };
         endpoint.distance.ms()
             + slowness * (BASE_MS + reading + crowd)
-            + sluggish
             + FAILURE_MS * endpoint.failure_rate(now)
     }
 
@@ -397,6 +438,7 @@
     pub fn begin(&mut self, id: &EndpointId, demand: Demand) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.own.flights += 1;
+            endpoint.dealt = endpoint.dealt.saturating_sub(1);
             endpoint.own.unread.0 += demand.prompt.0;
         }
     }
@@ -409,14 +451,13 @@
         }
     }
 
-    /// Learns from the pause before an event of a stream.
-    pub fn pause(&mut self, id: &EndpointId, pause: Duration) {
-        let seen = pause.as_secs_f64() * 1_000.0;
+    /// Learns from the pause before some events of a stream.
+    pub fn pause(&mut self, id: &EndpointId, pause: Duration, events: u32) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        let before = endpoint.pause_ms.unwrap_or(seen);
-        endpoint.pause_ms = Some(before + PAUSE_WEIGHT * (seen - before));
-        let usual = if self.usual_pause_ms > 0.0 { self.usual_pause_ms } else { seen };
-        self.usual_pause_ms = usual + PAUSE_WEIGHT * 0.1 * (seen - usual);
+        let seen = pause.as_secs_f64() * 1_000.0 / f64::from(events.max(1)).min(PAUSE_EVENTS);
+        let usual = endpoint.pause_ms.unwrap_or(seen);
+        let step = if seen < usual { -3.0 * PAUSE_STEP } else { PAUSE_STEP };
+        endpoint.pause_ms = Some(usual * (1.0 + step));
     }
 
     /// Takes over a report that came with an answer.
@@ -441,6 +482,7 @@
         }
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         endpoint.own.flights = endpoint.own.flights.saturating_sub(1);
+        endpoint.dealt += 1;
         match outcome {
             Outcome::Whole => endpoint.note(false, now),
             Outcome::Failed => endpoint.note(true, now),
@@ -450,6 +492,29 @@
         }
     }
 
+    /// Deals this node its part of the free slots of every endpoint.
+    ///
+    /// `part` gives the part by distance; `draw` gives numbers from 0 to 1 that round it.
+    pub fn deal(
+        &mut self,
+        part: impl Fn(Distance) -> f64,
+        mut draw: impl FnMut() -> f64,
+        now: Time,
+    ) {
+        self.learn_usual();
+        for endpoint in self.endpoints.values_mut() {
+            let free = endpoint.slots().saturating_sub(endpoint.load(now).flights);
+            let dealt = f64::from(free) * part(endpoint.distance).clamp(0.0, 1.0);
+            #[allow(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a part of a slot count"
+            )]
+            let whole = (dealt + draw()).floor() as u32;
+            endpoint.dealt = whole;
+        }
+    }
+
     /// What this node has in flight.
     pub fn shares(&self) -> impl Iterator<Item = (&EndpointId, Share)> {
         let busy = self.endpoints.iter().filter(|(_, e)| e.own != Share::default());
--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -92,6 +92,12 @@
         self.terms.len()
     }
 
+    /// Requests waiting that can still be answered in time.
+    #[must_use]
+    pub fn timely(&self) -> usize {
+        self.timely.len()
+    }
+
     /// Whether nobody waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
