--- /dev/null
+++ b/crates/relay/tests/events.rs
@@ -0,0 +1,84 @@
+//! Events out of pieces of any size.
+
+use bytes::Bytes;
+use proptest::{prelude::*, test_runner::RngSeed};
+use relay::events::{Broken, Sequence};
+
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: some words of {number}\n\n")
+}
+
+fn stream(numbers: std::ops::Range<u64>) -> String {
+    numbers.map(event).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default()
+    })]
+
+    /// Whatever the pieces, the events come out whole, in order and once.
+    #[test]
+    fn pieces_do_not_matter(cuts in prop::collection::vec(1_usize..40, 1..80)) {
+        let whole = stream(1..20);
+        let mut sequence = Sequence::new(None);
+        let mut passed = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, after) = rest.split_at((*cut).min(rest.len()));
+            rest = after;
+            let events = sequence.push(Bytes::copy_from_slice(piece)).unwrap();
+            prop_assert!(events.bytes.is_empty() || events.bytes.ends_with(b"\n\n"));
+            passed.extend_from_slice(&events.bytes);
+        }
+        prop_assert_eq!(passed, whole.as_bytes());
+        prop_assert_eq!(sequence.finish(), Ok(()));
+        prop_assert_eq!(sequence.last(), Some(19));
+    }
+}
+
+fn push(sequence: &mut Sequence, text: &str) -> Result<u32, Broken> {
+    sequence.push(Bytes::copy_from_slice(text.as_bytes())).map(|whole| whole.count)
+}
+
+#[test]
+fn gap_and_repetition_break_a_stream() {
+    for wrong in [5, 2, 1] {
+        let mut sequence = Sequence::new(None);
+        assert_eq!(push(&mut sequence, &stream(1..3)), Ok(2));
+        let broken = push(&mut sequence, &event(wrong));
+        assert_eq!(broken, Err(Broken::Gap { last: 2, found: wrong }));
+    }
+}
+
+#[test]
+fn resumed_stream_goes_on_after_the_last_event() {
+    let mut sequence = Sequence::new(Some(7));
+    assert!(push(&mut sequence, &event(7)).is_err());
+    assert_eq!(push(&mut sequence, &event(8)), Ok(1));
+}
+
+#[test]
+fn torn_event_is_dropped_before_a_resumption() {
+    let mut sequence = Sequence::new(None);
+    assert_eq!(push(&mut sequence, "id: 1\ndata: a\n\nid: 2\nda"), Ok(1));
+    assert_eq!(sequence.finish(), Err(Broken::Torn));
+    sequence.cut();
+    assert_eq!(push(&mut sequence, &event(2)), Ok(1));
+    assert_eq!(sequence.finish(), Ok(()));
+}
+
+#[test]
+fn event_without_a_number_breaks_a_stream() {
+    let mut sequence = Sequence::new(None);
+    assert_eq!(push(&mut sequence, "data: x\n\n"), Err(Broken::Unnumbered));
+}
+
+#[test]
+fn lines_may_end_with_carriage_returns() {
+    let mut sequence = Sequence::new(None);
+    assert_eq!(push(&mut sequence, "id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n"), Ok(2));
+}
--- /dev/null
+++ b/crates/relay/tests/peers.rs
@@ -0,0 +1,105 @@
+//! Digests and the roster that they make.
+
+use relay::peers::{Digest, Load, Roster, Spent, Told};
+use std::{net::SocketAddr, time::Duration};
+use units::{InstanceId, OrganisationId, Time, Version, ZoneId};
+
+fn digest(from: &str, zone: &str, number: u64) -> Digest {
+    Digest {
+        from: InstanceId::new(from).unwrap(),
+        lifetime: 1,
+        number,
+        zone: ZoneId::new(zone).unwrap(),
+        leaving: false,
+        configuration: Version(3),
+        directory: Version(40),
+        returned: false,
+        demand: 10,
+        loads: Box::new([Load { endpoint: 1, flights: 2, unread: 3 }]),
+        spent: Box::new([Spent { organisation: OrganisationId::new("o").unwrap(), tokens: 9 }]),
+        strikes: Box::default(),
+    }
+}
+
+fn address() -> SocketAddr {
+    "10.0.0.1:7600".parse().unwrap()
+}
+
+fn roster(me: &str) -> Roster {
+    Roster::new(InstanceId::new(me).unwrap())
+}
+
+fn hear(roster: &mut Roster, digest: &Digest, now: Time) -> bool {
+    roster.accept(digest, address(), &ZoneId::new("a").unwrap(), now)
+}
+
+#[test]
+fn only_the_holder_of_the_secret_is_heard() {
+    let sealed = digest("n", "a", 1).seal(b"secret").unwrap();
+    assert_eq!(Digest::open(&sealed, b"secret").unwrap(), digest("n", "a", 1));
+    assert!(Digest::open(&sealed, b"another").is_err());
+    assert!(Digest::open(b"short", b"secret").is_err());
+    for at in 0..sealed.len() {
+        let mut forged = sealed.clone();
+        forged[at] ^= 1;
+        assert!(Digest::open(&forged, b"secret").is_err(), "byte {at}");
+    }
+}
+
+#[test]
+fn late_and_repeated_digests_are_dropped() {
+    let mut roster = roster("me");
+    let now = Time::from_millis(1_000);
+    assert!(hear(&mut roster, &digest("n", "a", 2), now));
+    assert!(!hear(&mut roster, &digest("n", "a", 2), now));
+    assert!(!hear(&mut roster, &digest("n", "a", 1), now));
+    let restarted = Digest { lifetime: 2, ..digest("n", "a", 1) };
+    assert!(hear(&mut roster, &restarted, now));
+}
+
+#[test]
+fn silent_nodes_count_until_they_are_forgotten() {
+    let mut roster = roster("me");
+    let start = Time::from_millis(1_000);
+    hear(&mut roster, &digest("n", "a", 1), start);
+    assert!((roster.heard_share(start) - 1.0).abs() < 1e-9);
+    let later = start + Duration::from_secs(10);
+    assert!((roster.heard_share(later) - 0.5).abs() < 1e-9, "known and not heard");
+    assert_eq!(roster.told(later), Told::default());
+    let forgotten = roster.forget(start + Duration::from_secs(31));
+    assert_eq!(forgotten.len(), 1);
+    assert!((roster.heard_share(later) - 1.0).abs() < 1e-9);
+}
+
+/// Of many nodes that hear each other, eight read the store; those that are lost are replaced.
+#[test]
+fn eight_nodes_read_the_store() {
+    let names: Vec<String> = (0..60).map(|number| format!("n-{number}")).collect();
+    let readers = |alive: &[String], now: Time| -> Vec<String> {
+        let reads = |me: &&String| {
+            let mut roster = roster(me);
+            for other in alive.iter().filter(|other| *other != *me) {
+                hear(&mut roster, &digest(other, "a", 1), now);
+            }
+            roster.reads(now)
+        };
+        alive.iter().filter(reads).cloned().collect()
+    };
+    let now = Time::from_millis(1_000);
+    let first = readers(&names, now);
+    assert_eq!(first.len(), 8);
+    let alive: Vec<String> = names.into_iter().filter(|name| !first.contains(name)).collect();
+    assert_eq!(readers(&alive, now).len(), 8);
+    assert!(roster("alone").reads(now));
+}
+
+#[test]
+fn part_follows_demand_and_zone() {
+    let mut roster = roster("me");
+    let now = Time::from_millis(1_000);
+    hear(&mut roster, &Digest { demand: 30, ..digest("near", "a", 1) }, now);
+    hear(&mut roster, &Digest { demand: 60, ..digest("far", "b", 1) }, now);
+    let parts = roster.parts(10, now);
+    assert!((parts.near - 0.25).abs() < 1e-9);
+    assert!((parts.all - 0.1).abs() < 1e-9);
+}
--- /dev/null
+++ b/crates/relay/tests/watch.rs
@@ -0,0 +1,78 @@
+//! Reading tables whole, against a store that misbehaves.
+
+use anyhow::{Result, bail};
+use relay::{
+    Catalog,
+    watch::{Fault, Page, Row, Store, Table, read_whole},
+};
+use sched::fleet::Listing;
+use std::{cell::RefCell, collections::VecDeque, time::Duration};
+use units::Version;
+
+/// Store that answers from a script.
+struct Script {
+    pages: RefCell<VecDeque<Result<Page, Fault>>>,
+    asked: RefCell<Vec<Option<Box<str>>>>,
+}
+
+impl Script {
+    fn new(pages: Vec<Result<Page, Fault>>) -> Self {
+        Self { pages: RefCell::new(pages.into()), asked: RefCell::default() }
+    }
+}
+
+impl Store for Script {
+    async fn read(&self, _: Table, after: Option<&str>) -> Result<Page, Fault> {
+        self.asked.borrow_mut().push(after.map(Into::into));
+        self.pages.borrow_mut().pop_front().unwrap()
+    }
+
+    async fn follow(&self, _: Table, _: Version, _: Duration) -> Result<Page, Fault> {
+        Err(Fault::HistoryLost)
+    }
+
+    async fn write(&self, _: &str, _: &[u8], _: bool) -> Result<(), Fault> {
+        Ok(())
+    }
+
+    fn catalog(&self, _: &[u8]) -> Result<Catalog> {
+        bail!("not asked for")
+    }
+
+    fn listing(&self, _: &str, _: &[u8]) -> Result<Listing> {
+        bail!("not asked for")
+    }
+}
+
+fn page(keys: &[&str], version: u64, more: bool) -> Page {
+    let row = |key: &&str| Row { key: (*key).into(), value: None, version: Version(version) };
+    Page { rows: keys.iter().map(row).collect(), version: Version(version), more }
+}
+
+fn read(store: &Script, least: u64) -> Result<(Vec<Row>, Version), Fault> {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    runtime.block_on(read_whole(store, Table::Endpoints, Version(least)))
+}
+
+/// Changes between two pages are followed again from the first page's version.
+#[test]
+fn pages_are_joined_at_the_version_of_the_first() {
+    let store = Script::new(vec![Ok(page(&["a", "b"], 7, true)), Ok(page(&["c"], 9, false))]);
+    let (rows, version) = read(&store, 0).unwrap();
+    assert_eq!(rows.len(), 3);
+    assert_eq!(version, Version(7));
+    assert_eq!(*store.asked.borrow(), [None, Some("b".into())]);
+}
+
+#[test]
+fn older_page_is_not_taken_over() {
+    let store = Script::new(vec![Ok(page(&["a"], 7, false))]);
+    assert!(matches!(read(&store, 8), Err(Fault::Unavailable(_))));
+}
+
+#[test]
+fn fault_between_pages_is_passed_on() {
+    let fault = Fault::Unavailable("gone".into());
+    let store = Script::new(vec![Ok(page(&["a"], 7, true)), Err(fault.clone())]);
+    assert_eq!(read(&store, 0), Err(fault));
+}
--- /dev/null
+++ b/crates/sched/tests/budget.rs
@@ -0,0 +1,53 @@
+//! Repeats over all nodes stay within their bound in every window.
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use sched::budget::{Bound, Budget};
+use std::{collections::VecDeque, time::Duration};
+use units::Time;
+
+const BOUND: Bound = Bound { ratio: 0.2, burst: 54.0, window: Duration::from_secs(10) };
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 32, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    /// Every request is sent again as often as the budget lets it, at a rate that jumps.
+    #[test]
+    fn every_window_is_within_the_bound(rates in prop::collection::vec(0_u64..60, 4..30)) {
+        const NODES: usize = 7;
+        let mut nodes: Vec<Budget> = (0..NODES).map(|_| Budget::new(BOUND)).collect();
+        let mut seen: VecDeque<(u64, u32, u32)> = VecDeque::new();
+        for (second, rate) in rates.iter().enumerate() {
+            for tick in 0..100_u64 {
+                let ms = second as u64 * 1_000 + tick * 10;
+                let now = Time::from_millis(ms);
+                let mut row = (ms, 0, 0);
+                if *rate > 0 && tick % (100 / rate.min(&100)).max(1) == 0 {
+                    for budget in &mut nodes {
+                        budget.request(now);
+                        row.1 += 1;
+                        row.2 += u32::from(budget.repeat(NODES, now));
+                    }
+                }
+                seen.push_back(row);
+                while seen.front().is_some_and(|old| old.0 + 10_000 <= ms) {
+                    seen.pop_front();
+                }
+                let requests: u32 = seen.iter().map(|row| row.1).sum();
+                let repeats: u32 = seen.iter().map(|row| row.2).sum();
+                // Requests of the window before count as well when there were more of them.
+                let most = f64::from(requests.max(1)) * 0.2 + 54.0;
+                prop_assert!(f64::from(repeats) <= most + f64::from(requests) * 0.2);
+            }
+        }
+    }
+}
+
+#[test]
+fn budget_is_spent_and_comes_back() {
+    let mut budget = Budget::new(BOUND);
+    let now = Time::from_millis(1_000);
+    let spent = (0..100).filter(|_| budget.repeat(1, now)).count();
+    assert_eq!(spent, 43, "eight tenths of the burst");
+    assert!(!budget.repeat(1, now + Duration::from_secs(5)));
+    assert!(budget.repeat(1, now + Duration::from_secs(12)));
+}
--- /dev/null
+++ b/crates/sched/tests/fleet.rs
@@ -0,0 +1,211 @@
+//! Placement by several nodes, and beside long prompts.
+
+use rand_pcg::{Pcg64, rand_core::SeedableRng};
+use sched::fleet::{Ask, Demand, Distance, Fleet, Gauge, Listing, Outcome, Share};
+use std::{collections::HashMap, time::Duration};
+use units::{EndpointId, InstanceId, ServiceId, Time, Tokens, ZoneId};
+
+const SLOTS: u32 = 10;
+
+fn service() -> ServiceId {
+    ServiceId::new("llm").unwrap()
+}
+
+fn id(number: u32) -> EndpointId {
+    EndpointId::new(&format!("e-{number}")).unwrap()
+}
+
+fn listing(number: u32) -> Listing {
+    Listing {
+        id: id(number),
+        service: service(),
+        address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+        zone: ZoneId::new("z").unwrap(),
+        slots: SLOTS,
+        leaving: false,
+        born: None,
+    }
+}
+
+fn fleet(endpoints: u32) -> Fleet {
+    let mut fleet = Fleet::new();
+    for number in 0..endpoints {
+        fleet.list(listing(number), Distance::Zone, Time::ZERO);
+    }
+    fleet
+}
+
+fn ask<'a>(service: &'a ServiceId, prompt: u64) -> Ask<'a> {
+    Ask {
+        service,
+        demand: Demand { prompt: Tokens(prompt) },
+        avoid: &[],
+        connections: u32::MAX,
+        pause: Some(Duration::from_millis(300)),
+    }
+}
+
+fn deal_all(fleet: &mut Fleet) {
+    fleet.deal(|_| 1.0, || 0.0, Time::ZERO);
+}
+
+/// Places as many requests as there is room for and returns their endpoints.
+fn fill(fleet: &mut Fleet, prompt: u64, most: usize) -> Vec<EndpointId> {
+    let service = service();
+    let mut placed = Vec::new();
+    while placed.len() < most
+        && let Some(choice) = fleet.pick(&ask(&service, prompt), Time::ZERO)
+    {
+        fleet.begin(&choice.endpoint, Demand { prompt: Tokens(prompt) });
+        placed.push(choice.endpoint);
+    }
+    placed
+}
+
+/// Thirteen nodes see the same free slots and each has more requests than its part.
+#[test]
+fn nodes_that_see_the_same_slots_do_not_all_take_them() {
+    const NODES: u32 = 13;
+    let mut rng = Pcg64::seed_from_u64(7);
+    let mut taken: HashMap<EndpointId, u32> = HashMap::new();
+    for _ in 0..NODES {
+        let mut fleet = fleet(10);
+        fleet.deal(
+            |_| 1.0 / f64::from(NODES),
+            || rand_pcg::rand_core::RngCore::next_u32(&mut rng).into_unit(),
+            Time::ZERO,
+        );
+        for endpoint in fill(&mut fleet, 0, 20) {
+            *taken.entry(endpoint).or_default() += 1;
+        }
+    }
+    let all: u32 = taken.values().sum();
+    assert!(all <= 10 * SLOTS * 5 / 4, "{all} requests for {} slots", 10 * SLOTS);
+    assert!(all >= 10 * SLOTS * 3 / 4, "{all} requests for {} slots", 10 * SLOTS);
+}
+
+trait Unit {
+    fn into_unit(self) -> f64;
+}
+
+impl Unit for u32 {
+    fn into_unit(self) -> f64 {
+        f64::from(self) / f64::from(u32::MAX)
+    }
+}
+
+#[test]
+fn slot_that_a_request_leaves_may_be_taken_again() {
+    let mut fleet = fleet(1);
+    deal_all(&mut fleet);
+    let placed = fill(&mut fleet, 0, 100);
+    assert_eq!(placed.len(), SLOTS as usize);
+    let demand = Demand { prompt: Tokens(0) };
+    fleet.end(&id(0), demand, true, Outcome::Whole, Time::ZERO);
+    assert_eq!(fill(&mut fleet, 0, 100).len(), 1);
+}
+
+#[test]
+fn slots_of_peers_are_left_alone() {
+    let mut fleet = fleet(1);
+    let share = Share { flights: SLOTS - 2, unread: Tokens(0) };
+    let peer = InstanceId::new("peer").unwrap();
+    fleet.hear(&peer, &HashMap::from([(id(0), share)]), Time::ZERO);
+    deal_all(&mut fleet);
+    assert_eq!(fill(&mut fleet, 0, 100).len(), 2);
+    fleet.forget(&peer);
+    deal_all(&mut fleet);
+    assert_eq!(fill(&mut fleet, 0, 100).len(), 8);
+}
+
+/// One endpoint of three is five times slower than the others.
+fn fleet_with_a_slow_one() -> Fleet {
+    let mut fleet = fleet(3);
+    for _ in 0..500 {
+        for (number, pause) in [(0, 20), (1, 20), (2, 100)] {
+            fleet.pause(&id(number), Duration::from_millis(pause), 1);
+        }
+    }
+    deal_all(&mut fleet);
+    fleet
+}
+
+#[test]
+fn long_prompts_stay_away_from_a_slow_endpoint() {
+    let mut fleet = fleet_with_a_slow_one();
+    let placed = fill(&mut fleet, 20_000, 100);
+    assert!(!placed.is_empty());
+    assert!(!placed.contains(&id(2)), "{placed:?}");
+}
+
+#[test]
+fn short_prompts_use_a_slow_endpoint() {
+    let mut fleet = fleet_with_a_slow_one();
+    assert!(fill(&mut fleet, 600, 100).contains(&id(2)));
+}
+
+/// Pauses while an endpoint reads are no sign that it is slow.
+#[test]
+fn reading_does_not_make_an_endpoint_slow() {
+    let mut fleet = fleet(3);
+    for round in 0..2_000 {
+        for number in 0..3 {
+            let reading = number == 2 && round % 2 == 0;
+            let pause = if reading { 120 } else { 20 };
+            fleet.pause(&id(number), Duration::from_millis(pause), 1);
+        }
+    }
+    deal_all(&mut fleet);
+    assert!(fill(&mut fleet, 20_000, 100).contains(&id(2)));
+}
+
+#[test]
+fn leaving_and_removed_endpoints_are_not_chosen() {
+    let mut fleet = fleet(2);
+    fleet.list(Listing { leaving: true, ..listing(0) }, Distance::Zone, Time::ZERO);
+    fleet.remove(&id(1));
+    deal_all(&mut fleet);
+    assert!(fill(&mut fleet, 0, 1).is_empty());
+}
+
+#[test]
+fn endpoint_that_fails_is_avoided_but_not_given_up() {
+    let mut fleet = fleet(2);
+    deal_all(&mut fleet);
+    for _ in 0..10 {
+        let demand = Demand { prompt: Tokens(0) };
+        fleet.begin(&id(0), demand);
+        fleet.end(&id(0), demand, true, Outcome::Failed, Time::ZERO);
+    }
+    let placed = fill(&mut fleet, 0, 100);
+    let first_bad = placed.iter().position(|endpoint| *endpoint == id(0));
+    assert_eq!(first_bad, Some(SLOTS as usize), "the sound endpoint fills first");
+}
+
+#[test]
+fn reported_pace_fades() {
+    let service = service();
+    let mut fleet = fleet(2);
+    let gauge = Gauge { running: 0, waiting: 0, slots: SLOTS, pace: 4.0 };
+    fleet.gauge(&id(0), gauge, Time::ZERO);
+    deal_all(&mut fleet);
+    // A request beside it makes the other endpoint the second choice at an equal pace.
+    fleet.begin(&id(1), Demand { prompt: Tokens(0) });
+    let at = |ms| fleet.pick(&ask(&service, 5_000), Time::from_millis(ms)).unwrap().endpoint;
+    assert_eq!(at(0), id(1));
+    assert_eq!(at(10_000), id(0));
+}
+
+#[test]
+fn new_lifetime_forgets_what_was_learned() {
+    let service = service();
+    let mut fleet = fleet(1);
+    let demand = Demand { prompt: Tokens(0) };
+    fleet.begin(&id(0), demand);
+    fleet.end(&id(0), demand, false, Outcome::Unreachable, Time::ZERO);
+    deal_all(&mut fleet);
+    assert!(fleet.pick(&ask(&service, 0), Time::ZERO).is_none(), "backs off");
+    fleet.list(Listing { born: Some(1), ..listing(0) }, Distance::Zone, Time::ZERO);
+    deal_all(&mut fleet);
+    assert!(fleet.pick(&ask(&service, 0), Time::ZERO).is_some());
+}
