Stand-ins of the users' platform, and the relay's promises proved on real processes

A finding: crashed_worker_is_passed_over failed once with 502. Trace: the stand-in's crash returned before its listener was closed, so a connection was accepted and then dropped with its request, and 502 was the true answer. The crash now waits until nobody can connect.

--- /dev/null
+++ b/crates/fake-host/src/caller.rs
@@ -0,0 +1,125 @@
+//! One request of a caller, on a connection of its own.
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use std::{net::SocketAddr, time::Duration};
+use tokio::net::TcpStream;
+
+/// Longest wait for an answer.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Request.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Bytes of the body that came.
+    pub body: Vec<u8>,
+    /// Whether the body ended as complete.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// Body as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+impl Call {
+    /// Request to a path of the host `a.example`, with an attempt and a key.
+    #[must_use]
+    pub fn new(path: &str, attempt: &str) -> Self {
+        let headers = [
+            ("host", "a.example"),
+            ("x-attempt-id", attempt),
+            ("x-api-key", "key-1"),
+            ("x-deadline-ms", "10000"),
+        ];
+        let own = headers.map(|(name, value)| (name.to_owned(), value.to_owned()));
+        Self { method: Method::GET, path: path.to_owned(), headers: own.into(), body: Vec::new() }
+    }
+
+    /// The same as a stream of tokens.
+    #[must_use]
+    pub fn streamed(self) -> Self {
+        self.with_header("x-token-usage", "100,50")
+    }
+
+    /// Adds or replaces a header.
+    #[must_use]
+    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+        self.headers.retain(|(known, _)| known != name);
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sends a body by POST.
+    #[must_use]
+    pub fn with_body(mut self, body: &[u8]) -> Self {
+        self.method = Method::POST;
+        self.body = body.to_vec();
+        self
+    }
+
+    /// Sends the request and reads the answer, whole or not.
+    ///
+    /// # Errors
+    /// No head of an answer came.
+    pub async fn send(&self, address: SocketAddr) -> Result<Answer> {
+        tokio::time::timeout(PATIENCE, self.exchange(address)).await.context("no answer in time")?
+    }
+
+    async fn exchange(&self, address: SocketAddr) -> Result<Answer> {
+        let stream = TcpStream::connect(address).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = tokio::spawn(connection);
+        let mut request = Request::builder().method(self.method.clone()).uri(&self.path);
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        let request = request.body(Full::new(Bytes::from(self.body.clone())))?;
+        let response = sender.send_request(request).await?;
+        let (parts, mut incoming) = response.into_parts();
+        let mut body = Vec::new();
+        let mut whole = true;
+        while let Some(frame) = incoming.frame().await {
+            match frame {
+                Ok(frame) => body.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        drop(sender);
+        driver.abort();
+        Ok(Answer { status: parts.status, headers: parts.headers, body, whole })
+    }
+}
--- /dev/null
+++ b/crates/fake-host/src/node.rs
@@ -0,0 +1,190 @@
+//! A real process of the system.
+
+use anyhow::{Context, Result, bail};
+use parking_lot::Mutex;
+use serde_json::Value;
+use std::{
+    io::{BufRead, BufReader},
+    net::{IpAddr, SocketAddr, TcpListener, UdpSocket},
+    path::Path,
+    process::{Child, Command, Stdio},
+    sync::Arc,
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+
+/// Longest wait for a process to be ready or to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Handle of a process; it is killed when the handle is dropped.
+#[derive(Debug)]
+pub struct Node {
+    /// Callers' address.
+    pub callers: SocketAddr,
+    /// Readiness address.
+    pub readiness: SocketAddr,
+    /// Metrics address.
+    pub metrics: SocketAddr,
+    program: Box<Path>,
+    directory: TempDir,
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    reader: Option<JoinHandle<()>>,
+}
+
+/// Free port of an address that only this process uses.
+fn port(ip: IpAddr) -> Result<u16> {
+    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+}
+
+impl Node {
+    /// Starts a process of `program` in `zone`, against the store at `store`.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start(program: &Path, name: &str, zone: &str, store: SocketAddr) -> Result<Self> {
+        let ip = crate::address();
+        let (callers, readiness, metrics) = (port(ip)?, port(ip)?, port(ip)?);
+        let peers = UdpSocket::bind((ip, 0))?.local_addr()?.port();
+        let directory = tempfile::tempdir()?;
+        let settings = format!(
+            r#"node_name = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+region = "r1"
+port_range = [{peers}, {peers}]
+unknown_field = true
+[zones]
+z1 = "r1"
+z2 = "r1"
+z3 = "r2"
+[listen]
+frontend = "{ip}:{callers}"
+readiness = "{ip}:{readiness}"
+[limits]
+memory_mb = 100
+max_fds = 1000
+[bounds]
+retry_ratio = 0.2
+retry_window_s = 10
+retry_burst = 50
+grace_s = 8
+[platform]
+address = "{store}"
+"#
+        );
+        std::fs::write(directory.path().join("settings.toml"), settings)?;
+        let (child, lines, reader) = spawn(program, directory.path(), metrics)?;
+        Ok(Self {
+            callers: SocketAddr::new(ip, callers),
+            readiness: SocketAddr::new(ip, readiness),
+            metrics: SocketAddr::new(ip, metrics),
+            program: program.into(),
+            directory,
+            child,
+            lines,
+            reader: Some(reader),
+        })
+    }
+
+    /// Starts the process again after its end.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn restart(&mut self) -> Result<()> {
+        let metrics = self.metrics.port();
+        let (child, lines, reader) = spawn(&self.program, self.directory.path(), metrics)?;
+        self.child = child;
+        self.reader = Some(reader);
+        self.lines = lines;
+        Ok(())
+    }
+
+    /// Sends a signal, by the name that `kill` takes.
+    ///
+    /// # Errors
+    /// The signal cannot be sent.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").arg(format!("-{name}")).arg(id).status()?;
+        anyhow::ensure!(status.success(), "kill -{name}: {status}");
+        Ok(())
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits for the end of the process; the code is missing after a signal.
+    ///
+    /// # Errors
+    /// It goes on running.
+    pub fn wait(&mut self) -> Result<Option<i32>> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait()? {
+                if let Some(reader) = self.reader.take() {
+                    // A reader that panicked has no more lines.
+                    reader.join().ok();
+                }
+                return Ok(status.code());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        bail!("the process goes on running")
+    }
+
+    /// Log lines so far that contain all of `words`.
+    #[must_use]
+    pub fn log(&self, words: &[&str]) -> Vec<Value> {
+        let lines = self.lines.lock();
+        let found = lines.iter().filter(|line| words.iter().all(|word| line.contains(word)));
+        found.filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+
+    /// Waits for a log line that contains all of `words`.
+    ///
+    /// # Errors
+    /// It does not come.
+    pub async fn logged(&self, words: &[&str]) -> Result<Value> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(line) = self.log(words).pop() {
+                return Ok(line);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        bail!("no log line with {words:?}")
+    }
+}
+
+type Spawned = (Child, Arc<Mutex<Vec<String>>>, JoinHandle<()>);
+
+fn spawn(program: &Path, directory: &Path, metrics: u16) -> Result<Spawned> {
+    let mut child = Command::new(program)
+        .arg("--metrics-port")
+        .arg(metrics.to_string())
+        .env("BAMBOOROAD_BOOT", directory.join("settings.toml"))
+        .stdout(Stdio::piped())
+        .spawn()
+        .with_context(|| format!("starting {}", program.display()))?;
+    let output = child.stdout.take().context("no standard output")?;
+    let lines = Arc::new(Mutex::new(Vec::new()));
+    let kept = Arc::clone(&lines);
+    let reader = std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            kept.lock().push(line);
+        }
+    });
+    Ok((child, lines, reader))
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // A process that has ended already needs no signal.
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
--- /dev/null
+++ b/crates/fake-host/src/store.rs
@@ -0,0 +1,227 @@
+//! Stand-in for the platform's store.
+
+use anyhow::Result;
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::net::TcpListener;
+
+/// Interval at which a feed looks for changes.
+const FEED_TICK: Duration = Duration::from_millis(10);
+
+type Key = (String, String, String);
+
+#[derive(Debug, Clone)]
+struct Row {
+    value: Option<String>,
+    version: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<Key, Row>,
+    version: u64,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    down: bool,
+    delay: Duration,
+    calls: u64,
+}
+
+/// Handle of a store.
+#[derive(Debug, Clone)]
+pub struct Store {
+    /// Address that it serves at.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Store {
+    /// Starts a store on the present runtime.
+    ///
+    /// # Errors
+    /// No address can be bound.
+    pub async fn start() -> Result<Self> {
+        let listener = TcpListener::bind((crate::address(), 0)).await?;
+        let store = Self { address: listener.local_addr()?, state: Arc::default() };
+        let state = Arc::clone(&store.state);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let state = Arc::clone(&state);
+                let service = service_fn(move |request| answer(Arc::clone(&state), request));
+                let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(serving);
+            }
+        });
+        Ok(store)
+    }
+
+    /// Writes a row as the operator or a worker does.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_raw(table, key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row of any bytes.
+    pub fn put_raw(&self, table: &str, key: &str, value: &[u8]) {
+        self.set(table, key, Some(STANDARD.encode(value)));
+    }
+
+    /// Deletes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.set(table, key, None);
+    }
+
+    fn set(&self, table: &str, key: &str, value: Option<String>) {
+        let mut state = self.state.lock();
+        state.version += 1;
+        let version = state.version;
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        state.rows.insert(key, Row { value, version });
+    }
+
+    /// Makes the store refuse every call, or serve again.
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().down = down;
+    }
+
+    /// Delays every answer.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.lock().delay = delay;
+    }
+
+    /// Forgets all changes up to now.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock();
+        state.forgotten = state.version;
+    }
+
+    /// Calls answered so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.state.lock().calls
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (down, delay) = {
+        let mut state = state.lock();
+        state.calls += 1;
+        (state.down, state.delay)
+    };
+    tokio::time::sleep(delay).await;
+    if down {
+        return Ok(respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
+    }
+    let (parts, body) = request.into_parts();
+    let query = query(parts.uri.query().unwrap_or_default());
+    let (status, value) = match parts.uri.path() {
+        "/rows-get" => (StatusCode::OK, page(&state.lock(), &query)),
+        "/rows-feed" => feed(&state, &query).await,
+        "/rows-tx" => {
+            let body = body.collect().await.map(http_body_util::Collected::to_bytes);
+            transact(&mut state.lock(), &body.unwrap_or_default())
+        }
+        _ => (StatusCode::NOT_FOUND, Value::Null),
+    };
+    Ok(respond(status, &value))
+}
+
+fn respond(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
+    *response.status_mut() = status;
+    response
+}
+
+fn query(text: &str) -> BTreeMap<String, String> {
+    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.replace("%00", "\0"))).collect()
+}
+
+fn field<'a>(query: &'a BTreeMap<String, String>, name: &str) -> &'a str {
+    query.get(name).map_or("", String::as_str)
+}
+
+fn entry(key: &Key, row: &Row) -> Value {
+    json!({"table": key.0, "part": key.1, "key": key.2, "value": row.value,
+        "row_version": row.version, "removed": row.value.is_none()})
+}
+
+fn page(state: &State, query: &BTreeMap<String, String>) -> Value {
+    let most = field(query, "max_items").parse().unwrap_or(500);
+    let (table, from) = (field(query, "table"), field(query, "start_key"));
+    let found: Vec<Value> = state
+        .rows
+        .iter()
+        .filter(|(key, row)| key.0 == table && row.value.is_some() && key.2.as_str() >= from)
+        .map(|(key, row)| entry(key, row))
+        .collect();
+    json!({"has_more": found.len() > most, "rows": found[..found.len().min(most)],
+        "row_version": state.version, "timestamp_ms": 0})
+}
+
+async fn feed(state: &Mutex<State>, query: &BTreeMap<String, String>) -> (StatusCode, Value) {
+    let after: u64 = field(query, "after").parse().unwrap_or(0);
+    let wait = Duration::from_millis(field(query, "wait_ms").parse().unwrap_or(0));
+    let until = Instant::now() + wait;
+    loop {
+        {
+            let state = state.lock();
+            if state.down {
+                return (StatusCode::SERVICE_UNAVAILABLE, Value::Null);
+            }
+            if after < state.forgotten {
+                return (StatusCode::GONE, Value::Null);
+            }
+            let table = field(query, "table");
+            let mut changed: Vec<(&Key, &Row)> = state
+                .rows
+                .iter()
+                .filter(|(key, row)| key.0 == table && row.version > after)
+                .collect();
+            if !changed.is_empty() || Instant::now() >= until {
+                changed.sort_by_key(|(_, row)| row.version);
+                let rows: Vec<Value> = changed.iter().map(|(key, row)| entry(key, row)).collect();
+                return (StatusCode::OK, json!({"rows": rows, "row_version": state.version}));
+            }
+        }
+        tokio::time::sleep(FEED_TICK).await;
+    }
+}
+
+fn transact(state: &mut State, body: &[u8]) -> (StatusCode, Value) {
+    let Ok(call) = serde_json::from_slice::<Value>(body) else {
+        return (StatusCode::BAD_REQUEST, Value::Null);
+    };
+    let key = |entry: &Value| -> Key {
+        let text = |name: &str| entry[name].as_str().unwrap_or_default().to_owned();
+        (text("table"), text("part"), text("key"))
+    };
+    for condition in call["expected_revision"].as_array().into_iter().flatten() {
+        let known = state.rows.get(&key(condition)).filter(|row| row.value.is_some());
+        if known.map_or(0, |row| row.version) != condition["row_version"].as_u64().unwrap_or(0) {
+            return (StatusCode::PRECONDITION_FAILED, json!({"rows": []}));
+        }
+    }
+    state.version += 1;
+    let version = state.version;
+    for write in call["write"].as_array().into_iter().flatten() {
+        let value = write["value"].as_str().map(str::to_owned);
+        state.rows.insert(key(write), Row { value, version });
+    }
+    (StatusCode::OK, json!({"row_version": version}))
+}
--- /dev/null
+++ b/crates/fake-host/src/worker.rs
@@ -0,0 +1,282 @@
+//! Stand-in for a worker: plain and streamed answers, and what can go wrong.
+//!
+//! It speaks HTTP on the bare socket, since it must be able to send bytes that
+//! a library would refuse to send.
+
+use anyhow::{Context, Result};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+
+/// Interval at which a crash looks whether it is complete.
+const CRASH_TICK: Duration = Duration::from_millis(1);
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Requests are rejected unrun.
+    Full,
+    /// Requests run and the connection closes without an answer.
+    LoseAnswer,
+    /// Streams break off in the middle of the event after this one.
+    CutAfter(u64),
+    /// Each answer is followed by another one.
+    Extra,
+    /// Answers carry no receipt.
+    Unsigned,
+    /// Requests run and end with the worker's own error.
+    Error,
+}
+
+/// One run of a request.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Attempt.
+    pub attempt: String,
+    /// First line of the request.
+    pub line: String,
+    /// Headers, by lower-case name.
+    pub headers: BTreeMap<String, String>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// When it began.
+    pub at: Instant,
+    /// When its connection closed before its end.
+    pub cut: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct State {
+    id: String,
+    fault: Fault,
+    runs: Vec<Run>,
+    events: u64,
+    pause: Duration,
+}
+
+/// Handle of a worker.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// Address that it serves at.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    stop: watch::Sender<bool>,
+}
+
+impl Worker {
+    /// Starts a worker on the present runtime.
+    ///
+    /// # Errors
+    /// No address can be bound.
+    pub async fn start(id: &str) -> Result<Self> {
+        let listener = TcpListener::bind((crate::address(), 0)).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State {
+            id: id.to_owned(),
+            fault: Fault::None,
+            runs: Vec::new(),
+            events: 5,
+            pause: Duration::from_millis(5),
+        }));
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(accept(listener, Arc::clone(&state), stopped));
+        Ok(Self { address, state, stop })
+    }
+
+    /// Identifier.
+    #[must_use]
+    pub fn id(&self) -> String {
+        self.state.lock().id.clone()
+    }
+
+    /// Entry in the store.
+    #[must_use]
+    pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
+        json!({"service": service, "address": self.address.to_string(), "zone": zone,
+            "version": "v1", "concurrency": 4, "state": state, "warmup_left_ms": 0, "seq": 1,
+            "born": 1_790_000_000_000_u64})
+    }
+
+    /// Switches a fault.
+    pub fn set_fault(&self, fault: Fault) {
+        self.state.lock().fault = fault;
+    }
+
+    /// Sets the length of streams and the pause between their events.
+    pub fn set_stream(&self, events: u64, pause: Duration) {
+        let mut state = self.state.lock();
+        state.events = events;
+        state.pause = pause;
+    }
+
+    /// Closes the listener and every connection, as a crash does, and waits until nobody can
+    /// connect any more.
+    pub async fn crash(&self) {
+        self.stop.send_replace(true);
+        while TcpStream::connect(self.address).await.is_ok() {
+            tokio::time::sleep(CRASH_TICK).await;
+        }
+    }
+
+    /// Runs so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.state.lock().runs.clone()
+    }
+}
+
+async fn accept(listener: TcpListener, state: Arc<Mutex<State>>, stopped: watch::Receiver<bool>) {
+    let mut stop = stopped.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { return };
+                let (state, mut stop) = (Arc::clone(&state), stopped.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        _ = serve(stream, state) => {}
+                        _ = stop.wait_for(|stop| *stop) => {}
+                    }
+                });
+            }
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>) -> Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(run) = read(&mut stream, &mut buffer).await? {
+        let go_on = respond(&mut stream, &state, run).await?;
+        if !go_on {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Result<Option<Run>> {
+    let end = loop {
+        if let Some(at) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            break at + 4;
+        }
+        anyhow::ensure!(buffer.len() < MAX_HEAD, "head too large");
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8(buffer[..end].to_vec())?;
+    let mut lines = head.trim_end().split("\r\n");
+    let line = lines.next().context("no request line")?.to_owned();
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let length: usize = headers.get("content-length").map_or(Ok(0), |text| text.parse())?;
+    while buffer.len() < end + length {
+        anyhow::ensure!(stream.read_buf(buffer).await? > 0, "body cut");
+    }
+    let body = buffer[end..end + length].to_vec();
+    buffer.drain(..end + length);
+    let attempt = headers.get("x-attempt-id").cloned().unwrap_or_default();
+    Ok(Some(Run { attempt, line, headers, body, at: Instant::now(), cut: None }))
+}
+
+/// Answers one request; false when the connection must close.
+async fn respond(stream: &mut TcpStream, state: &Mutex<State>, run: Run) -> Result<bool> {
+    let (id, fault) = {
+        let state = state.lock();
+        (state.id.clone(), state.fault)
+    };
+    let attempt = run.attempt.clone();
+    if run.headers.get("x-target-instance").is_some_and(|target| *target != id) {
+        let head = format!("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {id}\r\n");
+        stream.write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).await?;
+        return Ok(true);
+    }
+    if fault == Fault::Full {
+        let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+        stream.write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).await?;
+        return Ok(true);
+    }
+    let streamed = run.headers.contains_key("x-token-usage");
+    let after = run.headers.get("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
+    let index = {
+        let mut state = state.lock();
+        state.runs.push(run);
+        state.runs.len() - 1
+    };
+    if fault == Fault::LoseAnswer {
+        return Ok(false);
+    }
+    let signature = if fault == Fault::Unsigned {
+        String::new()
+    } else {
+        format!("X-Response-Signature: {id}.{attempt}\r\n")
+    };
+    let status = if fault == Fault::Error { "500 Internal Server Error" } else { "200 OK" };
+    let head = format!(
+        "HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\nX-Server-Load: 1,0,4,100\r\n{signature}"
+    );
+    if streamed {
+        let written = events(stream, state, &head, after, fault).await;
+        if written.is_err() {
+            state.lock().runs[index].cut = Some(Instant::now());
+        }
+        return written;
+    }
+    let body = format!("answer to {attempt} by {id}");
+    let answer = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(answer.as_bytes()).await?;
+    if fault == Fault::Extra {
+        stream.write_all(answer.as_bytes()).await?;
+    }
+    Ok(true)
+}
+
+async fn events(
+    stream: &mut TcpStream,
+    state: &Mutex<State>,
+    head: &str,
+    after: u64,
+    fault: Fault,
+) -> Result<bool> {
+    let (count, pause) = {
+        let state = state.lock();
+        (state.events, state.pause)
+    };
+    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(format!("{head}{kind}").as_bytes()).await?;
+    for number in after + 1..=count {
+        tokio::time::sleep(pause).await;
+        let event = format!("id: {number}\ndata: token {number}\n\n");
+        if matches!(fault, Fault::CutAfter(last) if number > last) {
+            let half = &event[..event.len() / 2];
+            stream.write_all(format!("{:x}\r\n{half}\r\n", half.len()).as_bytes()).await?;
+            return Ok(false);
+        }
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        // A caller that left shows as an end of its side.
+        let mut byte = [0];
+        let gone = matches!(stream.try_read(&mut byte), Ok(0));
+        anyhow::ensure!(!gone, "caller left");
+    }
+    stream.write_all(b"0\r\n\r\n").await?;
+    Ok(true)
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -209,7 +209,7 @@
     let code = refused.code;
     info!(board.log, "refused"; Event::Refused, "request" => attempt, "code" => code.number(),
         "executed" => %code.executed(), "cause" => &*refused.cause,
-        "retry_after_ms" => refused.retry_after.map(|span| millis(span)));
+        "retry_after_ms" => refused.retry_after.map(millis));
     board.metrics.count("refused", &code.number().to_string());
     let mut response = Response::new(Body::Full(Full::default()));
     *response.status_mut() =
--- a/crates/relay/tests/catalog.rs
+++ b/crates/relay/tests/catalog.rs
@@ -1,5 +1,7 @@
 //! Routes, weights and keys.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use relay::catalog::{Backend, Catalog, Kind, Limits, Organisation, Route};
 use sched::quota::Allotment;
 use units::{OrganisationId, Rank, ServiceId, Tokens, Version};
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -1,5 +1,7 @@
 //! Events out of pieces of any size.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use bytes::Bytes;
 use proptest::{prelude::*, test_runner::RngSeed};
 use relay::events::{Broken, Sequence};
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -1,5 +1,7 @@
 //! Digests and the roster that they make.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use relay::peers::{Digest, Load, Roster, Spent, Told};
 use std::{net::SocketAddr, time::Duration};
 use units::{InstanceId, OrganisationId, Time, Version, ZoneId};
--- a/crates/relay/tests/watch.rs
+++ b/crates/relay/tests/watch.rs
@@ -1,5 +1,7 @@
 //! Reading tables whole, against a store that misbehaves.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use anyhow::{Result, bail};
 use relay::{
     Catalog,
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -1,5 +1,7 @@
 //! Placement by several nodes, and beside long prompts.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use rand_pcg::{Pcg64, rand_core::SeedableRng};
 use sched::fleet::{Ask, Demand, Distance, Fleet, Gauge, Listing, Outcome, Share};
 use std::{collections::HashMap, time::Duration};
--- a/crates/sched/tests/line.rs
+++ b/crates/sched/tests/line.rs
@@ -1,5 +1,7 @@
 //! A line under bursts, replayed in virtual time.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use sched::{
     Bid,
     line::{Line, Terms},
--- a/crates/sched/tests/quota.rs
+++ b/crates/sched/tests/quota.rs
@@ -1,5 +1,7 @@
 //! Allotments kept by several nodes.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use sched::quota::{Allotment, Meter, Total};
 use std::time::Duration;
 use units::{InstanceId, OrganisationId, Time, Tokens};
