Fleet: short calls are dealt a slot as often as it comes free

Six endpoints of a plain service among 78 nodes are 0.5 slots a node and deal, while a call holds one for 20 ms of the 180 ms between two deals: calls waited for the next deal and missed their 150 ms. Ruled out: load (12 % of the slots), the line (nothing ahead), connections. Change: a slot of a plain service is dealt as often as the usual hold lets it come free; streams once.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -55,10 +55,10 @@
 const HEARD: Duration = Duration::from_millis(2_500);
 /// Time without a digest after which a node is no longer counted on.
 const FORGET: Duration = Duration::from_secs(30);
-/// Interval at which the nodes' rows are read.
-const DISCOVERY: Duration = Duration::from_secs(10);
-/// Interval at which they are read while no other node is known.
-const DISCOVERY_ALONE: Duration = Duration::from_secs(1);
+/// Interval at which the nodes' rows are read; a new node makes itself heard before that.
+const DISCOVERY: Duration = Duration::from_secs(30);
+/// Interval at which they are read while no other node or no secret is known.
+const DISCOVERY_ALONE: Duration = Duration::from_millis(700);
 /// Key of the row that holds the secret.
 const SECRET_ROW: &str = "secret";
 /// Prefix of the keys of the nodes' rows.
@@ -249,6 +249,12 @@
         Self { me: Some(me), ..Self::default() }
     }
 
+    /// Whether another node is known, and the secret to speak with it.
+    #[must_use]
+    pub fn is_introduced(&self) -> bool {
+        self.secret.is_some() && !self.peers.is_empty()
+    }
+
     /// Nodes that are counted on, this one included.
     #[must_use]
     pub fn known(&self) -> usize {
@@ -406,7 +412,7 @@
             Err(fault) => info!(board.log, "nodes not read"; Event::StoreDown,
                 "table" => "Nodes", "fault" => %fault),
         }
-        let alone = !written || board.roster.borrow().known() == 1;
+        let alone = !written || !board.roster.borrow().is_introduced();
         tokio::time::sleep(if alone { DISCOVERY_ALONE } else { DISCOVERY }).await;
     }
 }
@@ -531,7 +537,7 @@
         // News are told at once, everything else at the interval.
         let news = tokio::time::timeout(interval.near, board.news.notified()).await.is_ok();
         forget(&board);
-        deal(&board);
+        deal(&board, interval.near);
         number += 1;
         let digest = digest(&board, number);
         let now = board.now();
@@ -567,7 +573,7 @@
     Intervals { near: span(roster.near()), all: span(roster.known()) }
 }
 
-fn deal(board: &Rc<Board>) {
+fn deal(board: &Rc<Board>, interval: Duration) {
     let now = board.now();
     let demand = board.desk.borrow_mut().take_demand();
     board.demand.set(demand);
@@ -577,7 +583,7 @@
         Distance::Zone if !small => parts.near,
         _ => parts.all,
     };
-    board.fleet.borrow_mut().deal(part, rand::random, now);
+    board.fleet.borrow_mut().deal(part, interval, rand::random, now);
     desk::pump_all(board);
 }
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -38,6 +38,9 @@
 const ENDPOINTS_INTERVAL: Duration = Duration::from_millis(700);
 /// Longest wait for the nodes' rows before the first configuration is read.
 const INTRODUCTION: Duration = Duration::from_millis(1_500);
+/// The same at a node that relies on readers, for changes that come together; with the readers'
+/// interval it stays well within `drain_ms`.
+const RELIANT_INTERVAL: Duration = Duration::from_millis(1_200);
 /// First pause after a failed call, doubled each time.
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
 /// Longest pause after a failed call.
@@ -336,7 +339,9 @@
         note_directory(&board);
         board.listed.set(true);
         desk::pump_all(&board);
-        let pause = ENDPOINTS_INTERVAL.saturating_sub(board.now().since(asked));
+        let reads = board.roster.borrow().reads(now);
+        let interval = if reads { ENDPOINTS_INTERVAL } else { RELIANT_INTERVAL };
+        let pause = interval.saturating_sub(board.now().since(asked));
         tokio::time::sleep(pause).await;
     }
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -20,7 +20,8 @@
 //! What is free at an endpoint is free for every node that can see it. At each
 //! digest, a node is therefore dealt a part of the free slots that follows its
 //! part of the demand, and takes no more of them until the next one; a slot
-//! that its own request leaves is its own again.
+//! that its own request leaves is its own again. Where calls are short, a slot
+//! comes free many times between two digests, and is dealt as often.
 //!
 //! Invariants:
 //! * an endpoint that is leaving or gone is never chosen;
@@ -58,6 +59,10 @@
 /// Step by which the usual pause follows a longer one; it follows a shorter one by three steps, so
 /// that it settles at the lower quartile, which pauses during reading do not reach.
 const PAUSE_STEP: f64 = 0.02;
+/// Weight of a new hold in the usual hold.
+const HOLD_WEIGHT: f64 = 0.1;
+/// Times that a slot is dealt between two digests, at most.
+const TURNS_MOST: f64 = 20.0;
 /// Most events that one pause is divided by.
 const PAUSE_EVENTS: f64 = 8.0;
 /// Bounds of the learned slowness.
@@ -197,6 +202,8 @@
     listed_at: Time,
     own: Share,
     dealt: u32,
+    /// Usual time for which a request holds a slot.
+    hold_ms: Option<f64>,
     peers: HashMap<InstanceId, (Share, Time)>,
     pause_ms: Option<f64>,
     pace: f64,
@@ -215,6 +222,7 @@
             listed_at: Time::ZERO,
             own: Share::default(),
             dealt: DEALT_UNSEEN,
+            hold_ms: None,
             peers: HashMap::new(),
             pause_ms: None,
             pace: 1.0,
@@ -238,6 +246,17 @@
         })
     }
 
+    /// Times that a free slot may be used before the next deal. Streams hold a slot for as long as
+    /// they generate, which their number hides while most of them are short.
+    fn turns(&self, interval: Duration) -> f64 {
+        match self.hold_ms {
+            Some(hold) if self.pause_ms.is_none() => {
+                (interval.as_secs_f64() * 1_000.0 / hold).clamp(1.0, TURNS_MOST)
+            }
+            _ => 1.0,
+        }
+    }
+
     fn failure_rate(&self, now: Time) -> f64 {
         self.failures * decay(now.since(self.failed_at), FAILURE_HALF_LIFE_S)
     }
@@ -482,6 +501,15 @@
         }
     }
 
+    /// Learns for how long an answer held its slot.
+    pub fn hold(&mut self, id: &EndpointId, hold: Duration) {
+        let seen = hold.as_secs_f64() * 1_000.0;
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            let usual = endpoint.hold_ms.unwrap_or(seen);
+            endpoint.hold_ms = Some(usual + HOLD_WEIGHT * (seen - usual));
+        }
+    }
+
     /// Notes the end of a request; `read` says whether its first answer had come.
     pub fn end(
         &mut self,
@@ -508,17 +536,20 @@
 
     /// Deals this node its part of the free slots of every endpoint.
     ///
-    /// `part` gives the part by distance; `draw` gives numbers from 0 to 1 that round it.
+    /// `part` gives the part by distance, `interval` the time to the next deal; `draw` gives numbers
+    /// from 0 to 1 that round it.
     pub fn deal(
         &mut self,
         part: impl Fn(Distance) -> f64,
+        interval: Duration,
         mut draw: impl FnMut() -> f64,
         now: Time,
     ) {
         self.learn_usual();
         for endpoint in self.endpoints.values_mut() {
             let free = endpoint.slots().saturating_sub(endpoint.load(now).flights);
-            let dealt = f64::from(free) * part(endpoint.distance).clamp(0.0, 1.0);
+            let turns = endpoint.turns(interval);
+            let dealt = f64::from(free) * turns * part(endpoint.distance).clamp(0.0, 1.0);
             #[allow(
                 clippy::cast_possible_truncation,
                 clippy::cast_sign_loss,
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -8,6 +8,8 @@
 use units::{EndpointId, InstanceId, ServiceId, Time, Tokens, ZoneId};
 
 const SLOTS: u32 = 10;
+/// Time between two deals.
+const INTERVAL: Duration = Duration::from_millis(180);
 
 fn service() -> ServiceId {
     ServiceId::new("llm").unwrap()
@@ -48,7 +50,7 @@
 }
 
 fn deal_all(fleet: &mut Fleet) {
-    fleet.deal(|_| 1.0, || 0.0, Time::ZERO);
+    fleet.deal(|_| 1.0, INTERVAL, || 0.0, Time::ZERO);
 }
 
 /// Places as many requests as there is room for and returns their endpoints.
@@ -74,6 +76,7 @@
         let mut fleet = fleet(10);
         fleet.deal(
             |_| 1.0 / f64::from(NODES),
+            INTERVAL,
             || rand_pcg::rand_core::RngCore::next_u32(&mut rng).into_unit(),
             Time::ZERO,
         );
@@ -211,3 +214,25 @@
     deal_all(&mut fleet);
     assert!(fleet.pick(&ask(&service, 0), Time::ZERO).is_some());
 }
+
+/// 78 nodes have one short call each 370 ms; with a deal each 180 ms few may wait for the next one.
+#[test]
+fn short_calls_do_not_wait_for_the_next_deal() {
+    let mut rng = Pcg64::seed_from_u64(7);
+    let mut fleet = fleet(6);
+    let mut short = 0;
+    for round in 0..1_000_u64 {
+        let now = Time::from_millis(round * 180);
+        let draw = || rand_pcg::rand_core::RngCore::next_u32(&mut rng).into_unit();
+        fleet.deal(|_| 1.0 / 78.0, INTERVAL, draw, now);
+        let Some(choice) = fleet.pick(&ask(&service(), 0), now) else {
+            short += 1;
+            continue;
+        };
+        let demand = Demand { prompt: Tokens(0) };
+        fleet.begin(&choice.endpoint, demand);
+        fleet.hold(&choice.endpoint, Duration::from_millis(20));
+        fleet.end(&choice.endpoint, demand, true, Outcome::Whole, now);
+    }
+    assert!(short <= 50, "{short} of 1000 waited");
+}
