Relay: exchange and peers split by job; a caller that leaves early has its log line

Change: intake, history, reply, digest and roster are modules of their own; the line; nodes that rely on readers read by themselves each 30 s in place of 10.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -8,8 +8,8 @@
     desk::Desk,
     dialect::Dialect,
     metrics::Metrics,
-    peers::Roster,
     pool::Pool,
+    roster::Roster,
     settings::Settings,
 };
 use sched::{budget::Budget, fleet::Fleet, quota::Meter, strike::Ledger};
--- /dev/null
+++ b/crates/relay/src/intake.rs
@@ -0,0 +1,207 @@
+//! Checks of a request before it costs an endpoint anything.
+
+use crate::{
+    board::{Board, Phase},
+    caller,
+    catalog::{Catalog, Organisation, Route},
+    desk::Wanted,
+    reply::{RETRY_SOON, Refused},
+};
+use bytes::Bytes;
+use codes::Code;
+use http::{HeaderMap, Method, Request, header, uri::PathAndQuery};
+use http_body::Body as _;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use sched::line::Terms;
+use std::{rc::Rc, time::Duration};
+use units::{Fingerprint, OrganisationId, RequestId, ServiceId, Time};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Time that a request without a stated one is given.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// Silence of a stream after which callers leave, at least.
+const SILENCE_LEAST: Duration = Duration::from_secs(2);
+/// The same, in times of the route's target for the first event.
+const SILENCE_TARGETS: u32 = 4;
+/// The same, in times of the route's longest pause.
+const SILENCE_PAUSES: u32 = 8;
+/// Part of the memory that callers' bodies may take.
+const BODY_MEMORY_PART: u64 = 4;
+/// Time from a dispatch to the answer beside the reading of the prompt.
+const DISPATCH_LEAD: Duration = Duration::from_millis(60);
+/// Reading time of a thousand prompt tokens; the engines' data sheet.
+const READ_THOUSAND: Duration = Duration::from_millis(9);
+/// Time after which a caller should turn to another node.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
+/// Organisation of requests that need no key.
+const ANONYMOUS: &str = "anonymous";
+
+/// Request that passed its checks.
+#[derive(Debug)]
+pub struct Intake {
+    /// Caller's headers, decoded.
+    pub head: caller::Head,
+    /// Route.
+    pub route: Rc<Route>,
+    /// Organisation, unless the route is anonymous.
+    pub organisation: Option<Rc<Organisation>>,
+    /// When it arrived.
+    pub arrived: Time,
+    /// When its caller or its route gives up.
+    pub deadline: Time,
+    /// What the desk needs to know.
+    pub wanted: Wanted,
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path: PathAndQuery,
+    /// Caller's headers as they came.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Checks a request and reads its body.
+///
+/// # Errors
+/// Why it is refused; nothing of it has left.
+pub async fn check(
+    board: &Rc<Board>,
+    head: Result<caller::Head, Box<str>>,
+    request: Request<Incoming>,
+) -> Result<Intake, Refused> {
+    let arrived = board.now();
+    let catalog = board.catalog.borrow().clone();
+    let Some(catalog) = catalog else {
+        let refused = Refused::new(Code::NotReady, "no configuration yet");
+        return Err(refused.with_retry_after(RETRY_SOON));
+    };
+    let head = head.map_err(|name| Refused::new(Code::Malformed, format!("header {name}")))?;
+    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+    let route = catalog.route(host, request.uri().path());
+    let route = Rc::clone(route.ok_or_else(|| {
+        let cause = format!("{host}{} in version {}", request.uri().path(), catalog.version);
+        Refused::new(Code::UnknownRoute, cause)
+    })?);
+    let organisation = organisation(&catalog, &route, &head)?;
+    if board.phase() == Phase::Closing && route.kind.is_stream() {
+        let refused = Refused::new(Code::Draining, "a stream would outlive this process");
+        return Err(refused.with_retry_after(RETRY_ELSEWHERE));
+    }
+    let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
+    let deadline = arrived + route.timeout.map_or(patience, |timeout| timeout.min(patience));
+    let (parts, body) = request.into_parts();
+    let body = read_body(board, &catalog, body, deadline).await?;
+    let fingerprint = fingerprint(organisation.as_deref(), parts.uri.path(), &body);
+    let draw: u64 = rand::random();
+    let service = route.backend(draw).cloned();
+    let service = service.ok_or_else(|| Refused::new(Code::NoEndpoint, "route has no service"))?;
+    let wanted =
+        wanted(&head, &route, organisation.as_deref(), service, fingerprint, arrived, deadline);
+    let path = parts.uri.path_and_query().cloned();
+    Ok(Intake {
+        head,
+        organisation,
+        arrived,
+        deadline,
+        wanted,
+        method: parts.method,
+        path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
+        headers: parts.headers,
+        body,
+        route,
+    })
+}
+
+fn organisation(
+    catalog: &Catalog,
+    route: &Route,
+    head: &caller::Head,
+) -> Result<Option<Rc<Organisation>>, Refused> {
+    let holder = head.key.as_deref().and_then(|key| catalog.holder(key)).cloned();
+    if holder.is_none() && !route.anonymous {
+        let cause = format!("no organisation holds the key in version {}", catalog.version);
+        return Err(Refused::new(Code::UnknownKey, cause));
+    }
+    Ok(holder)
+}
+
+#[allow(clippy::too_many_arguments, reason = "joins what the checks found")]
+fn wanted(
+    head: &caller::Head,
+    route: &Route,
+    organisation: Option<&Organisation>,
+    service: ServiceId,
+    fingerprint: Fingerprint,
+    arrived: Time,
+    deadline: Time,
+) -> Wanted {
+    let demand = Wanted::demand(head);
+    let thousands = u32::try_from(demand.prompt.0 / 1_000).unwrap_or(u32::MAX);
+    let lead = DISPATCH_LEAD + READ_THOUSAND * thousands;
+    let target = route.target.unwrap_or_else(|| deadline.since(arrived));
+    let timely = arrived + target.saturating_sub(lead.min(target / 2));
+    let patience = deadline.since(arrived).min(silence(route));
+    let latest = arrived + patience.saturating_sub(lead.min(patience / 2));
+    let anonymous = || OrganisationId::new(ANONYMOUS).expect("the name is valid");
+    Wanted {
+        request: RequestId::random(&mut rand::rng()),
+        service,
+        rank: route.rank,
+        organisation: organisation.map_or_else(anonymous, |o| o.id.clone()),
+        demand,
+        output: head.output.unwrap_or_default(),
+        pause: route.pause.filter(|_| route.kind.is_stream()),
+        terms: Terms { timely, latest },
+        fingerprint,
+    }
+}
+
+/// Time for which a caller waits for the next event of a stream, the first one included.
+fn silence(route: &Route) -> Duration {
+    if !route.kind.is_stream() {
+        return DEFAULT_PATIENCE;
+    }
+    let by_target = route.target.unwrap_or_default() * SILENCE_TARGETS;
+    let by_pause = route.pause.unwrap_or_default() * SILENCE_PAUSES;
+    SILENCE_LEAST.max(by_target).max(by_pause)
+}
+
+/// Reads a caller's body within the limits of size, time and memory.
+async fn read_body(
+    board: &Board,
+    catalog: &Catalog,
+    body: Incoming,
+    deadline: Time,
+) -> Result<Bytes, Refused> {
+    let limits = catalog.limits;
+    let stated = body.size_hint().lower();
+    if stated > limits.body.get() {
+        return Err(Refused::new(Code::BodyTooLarge, format!("{stated} bytes are stated")));
+    }
+    if board.held.get() + stated > board.settings.memory / BODY_MEMORY_PART {
+        let refused = Refused::new(Code::TooManyRequests, "memory for bodies is in use");
+        return Err(refused.with_retry_after(RETRY_SOON));
+    }
+    let limit = usize::try_from(limits.body.get()).unwrap_or(usize::MAX);
+    let reading = Limited::new(body, limit).collect();
+    let time = limits.header_timeout.min(deadline.since(board.now()));
+    match tokio::time::timeout(time, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Err(Refused::new(Code::BodyTooLarge, format!("more than {limit} bytes came")))
+        }
+        Ok(Err(e)) => Err(Refused::new(Code::Malformed, format!("body: {e}"))),
+        Err(_) => Err(Refused::new(Code::SlowSender, "the body did not arrive in time")),
+    }
+}
+
+fn fingerprint(organisation: Option<&Organisation>, path: &str, body: &[u8]) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    hash.update(organisation.map_or("", |o| o.id.as_str()).as_bytes());
+    hash.update(path.as_bytes());
+    hash.update(body);
+    Fingerprint(hash.digest())
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,13 +4,14 @@
 //! the [`board`]; no lock is held across an await, since none is needed.
 //!
 //! * [`serve`] accepts callers' connections and hands each request to
-//!   [`exchange`], which takes it from its checks to its last byte.
+//!   [`exchange`], which takes it from its checks ([`intake`]) over one or more
+//!   endpoints ([`history`]) to its last byte ([`reply`]).
 //! * [`desk`] lets requests wait and places them; its decisions are those of
 //!   the pure modules `sched::{line, fleet, quota, budget, strike}`.
 //! * [`pool`] keeps connections to endpoints; [`stream`] passes events on and
 //!   continues a broken stream at another endpoint where that is allowed.
-//! * [`watch`] follows the store's tables; [`peers`] tells the other nodes
-//!   what this one has in flight.
+//! * [`watch`] follows the store's tables; [`peers`] tells the other nodes, kept
+//!   in the [`roster`], by [`digest`]s what this one has in flight.
 //!
 //! The crate names no header, path or document of any deployment. A
 //! [`dialect::Dialect`] translates headers and a [`watch::Table`] reads the
@@ -29,12 +30,17 @@
 pub mod catalog;
 pub mod desk;
 pub mod dialect;
+pub mod digest;
 pub mod events;
 pub mod exchange;
+pub mod history;
+pub mod intake;
 pub mod life;
 pub mod metrics;
 pub mod peers;
 pub mod pool;
+pub mod reply;
+pub mod roster;
 pub mod serve;
 pub mod settings;
 pub mod stream;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,19 +1,13 @@
-//! What nodes tell each other.
+//! Finding the other nodes, speaking with them, and dealing by what they say.
 //!
 //! Load pattern: seven to some hundred nodes fill the same endpoints within
 //! milliseconds of each other. Each node sends a small digest of what it has
 //! in flight to every other node at an interval that grows with their number,
 //! so that a node receives about the same number of datagrams at any size.
-//! A digest carries sums and present values, never changes, so that a lost
-//! one costs nothing but its age.
-//!
 //! Those in the same availability zone hear each other often, the others less
 //! often: the first compete for the same endpoints, the others only when their
 //! own are full.
 //!
-//! A few nodes, found by rendezvous hashing over those that are heard, read
-//! the store for all; see [`crate::watch`].
-//!
 //! Nodes find each other by their rows in the store. The store also holds the
 //! secret with which datagrams are authenticated: whoever cannot read the
 //! store cannot make a digest that is taken over.
@@ -21,23 +15,20 @@
 use crate::{
     board::Board,
     desk,
+    digest::{Digest, Load, Spent, Strike, tag},
+    roster::Roster,
     watch::{self, Fault, RETURN, Store, Table},
 };
-use anyhow::{Context, Result, ensure};
 use codes::Event;
-use hmac::{Hmac, Mac};
 use rand::Rng;
 use sched::{
     fleet::{Distance, Share},
     quota::Total,
 };
-use serde::{Deserialize, Serialize};
-use sha2::Sha256;
 use slog::info;
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::net::UdpSocket;
-use units::{EndpointId, Fingerprint, InstanceId, OrganisationId, Time, Tokens, Version, ZoneId};
-use xxhash_rust::xxh3::xxh3_64;
+use units::{InstanceId, Time, Tokens, Version};
 
 /// Shortest interval between two digests.
 const INTERVAL_MIN: Duration = Duration::from_millis(100);
@@ -45,16 +36,6 @@
 const INTERVAL_PER_NODE: Duration = Duration::from_millis(14);
 /// Longest time without a digest to a node near.
 const IDLE_MOST: Duration = Duration::from_millis(500);
-/// Other nodes up to which all are told as often as those near.
-const SMALL: usize = 16;
-/// Nodes that follow the store for all.
-const READERS: usize = 8;
-/// Key of the readers' rendezvous.
-const READER_KEY: &str = "store readers";
-/// Time without a digest after which a node is not heard.
-const HEARD: Duration = Duration::from_millis(2_500);
-/// Time without a digest after which a node is no longer counted on.
-const FORGET: Duration = Duration::from_secs(30);
 /// Interval at which the nodes' rows are read; a new node makes itself heard before that.
 const DISCOVERY: Duration = Duration::from_secs(30);
 /// Interval at which they are read while no other node or no secret is known.
@@ -65,339 +46,11 @@
 const NODE_ROWS: &str = "node/";
 /// Length of the secret, in bytes.
 const SECRET_BYTES: usize = 32;
-/// Length of a digest's code of authenticity, in bytes.
-const CODE_BYTES: usize = 16;
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 8 * 1024;
 /// Strikes that are told along.
 const MAX_STRIKES: usize = 16;
 
-type Code = Hmac<Sha256>;
-
-/// What a node says of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Digest {
-    /// Node that sends it.
-    pub from: InstanceId,
-    /// Lifetime of its process; a larger one is newer.
-    pub lifetime: u64,
-    /// Number of the digest within the lifetime.
-    pub number: u64,
-    /// Availability zone of the node.
-    pub zone: ZoneId,
-    /// Whether the node leaves.
-    pub leaving: bool,
-    /// Version of the configuration that it has in force.
-    pub configuration: Version,
-    /// Whether it follows the store for all.
-    pub reads: bool,
-    /// Hash of the directory as it knows it.
-    pub directory: u64,
-    /// Whether the store came back so recently that entries may be missing.
-    pub returned: bool,
-    /// Requests waiting and those that have just arrived.
-    pub demand: u32,
-    /// Requests in flight.
-    pub loads: Box<[Load]>,
-    /// Tokens admitted since the start of the process.
-    pub spent: Box<[Spent]>,
-    /// Requests under which endpoints failed.
-    pub strikes: Box<[Strike]>,
-}
-
-/// Requests in flight at one endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Short hash of the endpoint's identifier.
-    pub endpoint: u32,
-    /// Requests.
-    pub flights: u32,
-    /// Prompt tokens without a first answer.
-    pub unread: u64,
-}
-
-/// Tokens that a node has admitted for an organisation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Spent {
-    /// Organisation.
-    pub organisation: OrganisationId,
-    /// Tokens admitted since the start of the process.
-    pub tokens: u64,
-    /// Tokens asked for since then.
-    pub asked: u64,
-}
-
-/// Request under which endpoints failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Strike {
-    /// Hash of the request.
-    pub fingerprint: Fingerprint,
-    /// Number of failures.
-    pub count: u8,
-    /// Age of the last, in ms.
-    pub age_ms: u32,
-}
-
-impl Digest {
-    /// Whether there is nothing new in a later digest.
-    fn says_the_same(&self, later: &Self) -> bool {
-        self.loads == later.loads && self.spent == later.spent && self.strikes == later.strikes
-    }
-
-    /// Datagram with its code of authenticity.
-    ///
-    /// # Errors
-    /// The digest cannot be encoded.
-    pub fn seal(&self, secret: &[u8]) -> Result<Vec<u8>> {
-        let mut bytes = postcard::to_stdvec(self).context("encoding a digest")?;
-        let code = code(secret, &bytes)?;
-        bytes.extend_from_slice(&code);
-        Ok(bytes)
-    }
-
-    /// Digest out of a datagram.
-    ///
-    /// # Errors
-    /// The code of authenticity or the encoding is wrong.
-    pub fn open(datagram: &[u8], secret: &[u8]) -> Result<Self> {
-        ensure!(datagram.len() > CODE_BYTES, "datagram of {} bytes", datagram.len());
-        let (bytes, seal) = datagram.split_at(datagram.len() - CODE_BYTES);
-        let mut mac = Code::new_from_slice(secret).context("key of the code")?;
-        mac.update(bytes);
-        mac.verify_truncated_left(seal).context("code of authenticity")?;
-        postcard::from_bytes(bytes).context("decoding a digest")
-    }
-}
-
-fn code(secret: &[u8], bytes: &[u8]) -> Result<[u8; CODE_BYTES]> {
-    let mut mac = Code::new_from_slice(secret).context("key of the code")?;
-    mac.update(bytes);
-    let full = mac.finalize().into_bytes();
-    let mut code = [0; CODE_BYTES];
-    code.copy_from_slice(&full[..CODE_BYTES]);
-    Ok(code)
-}
-
-/// Short hash of an endpoint's identifier.
-#[must_use]
-pub fn tag(endpoint: &EndpointId) -> u32 {
-    let hash = xxh3_64(endpoint.as_str().as_bytes());
-    u32::try_from(hash >> 32).unwrap_or_default()
-}
-
-#[derive(Debug)]
-struct Peer {
-    address: SocketAddr,
-    near: bool,
-    demand: u32,
-    configuration: Version,
-    reads: bool,
-    directory: u64,
-    returned: bool,
-    lifetime: u64,
-    number: u64,
-    heard: Option<Time>,
-    known_since: Time,
-}
-
-impl Peer {
-    fn last(&self) -> Time {
-        self.heard.unwrap_or(self.known_since)
-    }
-}
-
-/// What other nodes have seen.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Told {
-    /// Newest configuration in force.
-    pub configuration: Version,
-    /// Hashes of the directory at the nodes that read the store.
-    pub directories: Vec<u64>,
-    /// Whether the store came back so recently that entries may be missing.
-    pub returned: bool,
-}
-
-impl Told {
-    /// Whether none of the nodes that read the store knows the directory `own`.
-    #[must_use]
-    pub fn differs(&self, own: u64) -> bool {
-        !self.directories.is_empty() && !self.directories.contains(&own)
-    }
-}
-
-/// This node's part of the demand.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Parts {
-    /// Among the nodes of its availability zone.
-    pub near: f64,
-    /// Among all nodes.
-    pub all: f64,
-}
-
-/// Other nodes.
-#[derive(Debug, Default)]
-pub struct Roster {
-    me: Option<InstanceId>,
-    peers: HashMap<InstanceId, Peer>,
-    secret: Option<Box<[u8]>>,
-}
-
-impl Roster {
-    /// Roster of a node that knows no other.
-    #[must_use]
-    pub fn new(me: InstanceId) -> Self {
-        Self { me: Some(me), ..Self::default() }
-    }
-
-    /// Whether another node is known, and the secret to speak with it.
-    #[must_use]
-    pub fn is_introduced(&self) -> bool {
-        self.secret.is_some() && !self.peers.is_empty()
-    }
-
-    /// Nodes that are counted on, this one included.
-    #[must_use]
-    pub fn known(&self) -> usize {
-        self.peers.len() + 1
-    }
-
-    /// Other nodes that are heard.
-    #[must_use]
-    pub fn heard(&self, now: Time) -> usize {
-        self.heard_peers(now).count()
-    }
-
-    /// Part of the nodes counted on that are heard, this one included.
-    #[must_use]
-    #[allow(clippy::cast_precision_loss, reason = "node counts are small")]
-    pub fn heard_share(&self, now: Time) -> f64 {
-        (self.heard(now) + 1) as f64 / self.known() as f64
-    }
-
-    /// Notes a node's address; true when it is news.
-    pub fn meet(&mut self, id: &InstanceId, address: SocketAddr, now: Time) -> bool {
-        if let Some(peer) = self.peers.get_mut(id) {
-            let moved = peer.address != address;
-            peer.address = address;
-            return moved;
-        }
-        let peer = Peer {
-            address,
-            near: false,
-            demand: 0,
-            configuration: Version(0),
-            reads: false,
-            directory: 0,
-            returned: false,
-            lifetime: 0,
-            number: 0,
-            heard: None,
-            known_since: now,
-        };
-        self.peers.insert(id.clone(), peer);
-        true
-    }
-
-    /// Whether a digest is newer than what was heard of its node; notes it if so.
-    pub fn accept(&mut self, digest: &Digest, from: SocketAddr, zone: &ZoneId, now: Time) -> bool {
-        self.meet(&digest.from, from, now);
-        let Some(peer) = self.peers.get_mut(&digest.from) else { return false };
-        if (digest.lifetime, digest.number) <= (peer.lifetime, peer.number) {
-            return false;
-        }
-        peer.lifetime = digest.lifetime;
-        peer.number = digest.number;
-        peer.heard = Some(now);
-        peer.near = digest.zone == *zone;
-        peer.demand = digest.demand;
-        peer.configuration = digest.configuration;
-        peer.reads = digest.reads;
-        peer.directory = digest.directory;
-        peer.returned = digest.returned;
-        true
-    }
-
-    fn heard_peers(&self, now: Time) -> impl Iterator<Item = (&InstanceId, &Peer)> {
-        let heard = move |peer: &Peer| peer.heard.is_some_and(|at| now.since(at) < HEARD);
-        self.peers.iter().filter(move |(_, peer)| heard(peer))
-    }
-
-    /// Newest that the other nodes have seen.
-    #[must_use]
-    pub fn told(&self, now: Time) -> Told {
-        let mut told = Told::default();
-        for (_, peer) in self.heard_peers(now) {
-            told.configuration = told.configuration.max(peer.configuration);
-            told.returned |= peer.returned;
-            if peer.reads {
-                told.directories.push(peer.directory);
-            }
-        }
-        told
-    }
-
-    /// Hash of the directory that a node stated last.
-    fn directory(&self, id: &InstanceId) -> Option<u64> {
-        self.peers.get(id).map(|peer| peer.directory)
-    }
-
-    /// Whether this node is one of those that follow the store.
-    #[must_use]
-    pub fn reads(&self, now: Time) -> bool {
-        let score = |id: &InstanceId| units::score(id.as_str(), READER_KEY);
-        let Some(me) = &self.me else { return true };
-        let mine = score(me);
-        self.heard_peers(now).filter(|(id, _)| score(id) > mine).count() < READERS
-    }
-
-    /// Part of the demand of all nodes that is this node's: in its zone, and in all.
-    #[must_use]
-    pub fn parts(&self, demand: u32, now: Time) -> Parts {
-        let mine = f64::from(demand.max(1));
-        let mut near = mine;
-        let mut all = mine;
-        for (_, peer) in self.heard_peers(now) {
-            let theirs = f64::from(peer.demand.max(1));
-            all += theirs;
-            if peer.near {
-                near += theirs;
-            }
-        }
-        Parts { near: mine / near, all: mine / all }
-    }
-
-    /// Whether every node is told as often as those near.
-    fn is_small(&self) -> bool {
-        self.peers.len() <= SMALL
-    }
-
-    /// Removes a node that leaves.
-    pub fn remove(&mut self, id: &InstanceId) {
-        self.peers.remove(id);
-    }
-
-    /// Removes the nodes that have been silent for too long.
-    pub fn forget(&mut self, now: Time) -> Vec<InstanceId> {
-        let silent = self.peers.iter().filter(|(_, peer)| now.since(peer.last()) > FORGET);
-        let silent: Vec<InstanceId> = silent.map(|(id, _)| id.clone()).collect();
-        for id in &silent {
-            self.peers.remove(id);
-        }
-        silent
-    }
-
-    fn addresses(&self, all: bool) -> Vec<SocketAddr> {
-        let told = self.peers.values().filter(|peer| all || peer.near);
-        told.map(|peer| peer.address).collect()
-    }
-
-    /// Nodes that are told often, this one included.
-    fn near(&self) -> usize {
-        let near = self.peers.values().filter(|peer| peer.near).count();
-        1 + if self.is_small() { self.peers.len() } else { near }
-    }
-}
-
 /// Keeps this node's row and reads those of the others.
 pub async fn discover<S: Store>(board: Rc<Board>, store: Rc<S>) {
     let row = format!("{NODE_ROWS}{}", board.settings.instance);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,7 +1,7 @@
 //! Connections to endpoints.
 //!
 //! A connection serves one request at a time. It returns to the pool once its
-//! answer is whole, and waits there for [`SETTLE`] before it is used again:
+//! answer is whole, and waits there for `SETTLE` before it is used again:
 //! bytes that come in that time belong to no request and end it.
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/relay/src/reply.rs
@@ -0,0 +1,147 @@
+//! Answers and refusals to callers.
+
+use crate::{board::Board, stream::Relay};
+use bytes::Bytes;
+use codes::{Code, Event};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header, response};
+use http_body::{Frame, SizeHint};
+use http_body_util::Full;
+use slog::info;
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+/// Time after which a caller that met no room should return.
+pub const RETRY_SOON: Duration = Duration::from_millis(300);
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub enum Body {
+    /// Whole.
+    Full(Full<Bytes>),
+    /// Passed on event by event.
+    Relay(Box<Relay>),
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.get_mut() {
+            Self::Full(full) => Pin::new(full).poll_frame(context).map_err(|e| match e {}),
+            Self::Relay(relay) => relay
+                .poll_events(context)
+                .map(|next| next.map(|result| result.map(Frame::data).map_err(Into::into))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Full(full) => full.is_end_stream(),
+            Self::Relay(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(full) => full.size_hint(),
+            Self::Relay(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Refusal or failure of our own.
+#[derive(Debug)]
+pub struct Refused {
+    /// Result code.
+    pub code: Code,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// Cause, for the log.
+    pub cause: Box<str>,
+}
+
+impl Refused {
+    /// Refusal without a time to return.
+    #[must_use]
+    pub fn new(code: Code, cause: impl Into<Box<str>>) -> Self {
+        Self { code, retry_after: None, cause: cause.into() }
+    }
+
+    /// States when to come back.
+    #[must_use]
+    pub fn with_retry_after(mut self, span: Duration) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+}
+
+/// Logs, counts and renders a refusal.
+pub fn refusal(board: &Board, attempt: &str, refused: &Refused) -> Response<Body> {
+    let code = refused.code;
+    info!(board.log, "refused"; Event::Refused, "request" => attempt, "code" => code.number(),
+        "executed" => %code.executed(), "cause" => &*refused.cause,
+        "retry_after_ms" => refused.retry_after.map(millis));
+    board.metrics.count("refused", &code.number().to_string());
+    let mut response = Response::new(Body::Full(Full::default()));
+    *response.status_mut() =
+        StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    board.dialect.refusal(headers, attempt);
+    if let Some(span) = refused.retry_after {
+        let seconds = format!("{:.2}", span.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Headers that concern more than one connection.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|names| names.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let kept =
+        headers.iter().filter(|(name, _)| !HOP_BY_HOP.contains(name) && !named.contains(name));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+/// Head of the answer to a caller.
+#[must_use]
+pub fn respond(parts: &response::Parts, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = end_to_end(&parts.headers);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
+    response
+}
+
+/// Whole milliseconds, for logs.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/relay/src/roster.rs
@@ -0,0 +1,238 @@
+//! The other nodes, as far as this one hears them.
+//!
+//! A few nodes, found by rendezvous hashing over those that are heard, read
+//! the store for all; see [`crate::watch`].
+
+use crate::digest::Digest;
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use units::{InstanceId, Time, Version, ZoneId};
+
+/// Time without a digest after which a node is not heard.
+const HEARD: Duration = Duration::from_millis(2_500);
+/// Time without a digest after which a node is no longer counted on.
+const FORGET: Duration = Duration::from_secs(30);
+/// Other nodes up to which all are told as often as those near.
+const SMALL: usize = 16;
+/// Nodes that follow the store for all.
+const READERS: usize = 8;
+/// Key of the readers' rendezvous.
+const READER_KEY: &str = "store readers";
+
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    near: bool,
+    demand: u32,
+    configuration: Version,
+    reads: bool,
+    directory: u64,
+    returned: bool,
+    lifetime: u64,
+    number: u64,
+    heard: Option<Time>,
+    known_since: Time,
+}
+
+impl Peer {
+    fn last(&self) -> Time {
+        self.heard.unwrap_or(self.known_since)
+    }
+}
+
+/// What other nodes have seen.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Newest configuration in force.
+    pub configuration: Version,
+    /// Hashes of the directory at the nodes that read the store.
+    pub directories: Vec<u64>,
+    /// Whether the store came back so recently that entries may be missing.
+    pub returned: bool,
+}
+
+impl Told {
+    /// Whether none of the nodes that read the store knows the directory `own`.
+    #[must_use]
+    pub fn differs(&self, own: u64) -> bool {
+        !self.directories.is_empty() && !self.directories.contains(&own)
+    }
+}
+
+/// This node's part of the demand.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Parts {
+    /// Among the nodes of its availability zone.
+    pub near: f64,
+    /// Among all nodes.
+    pub all: f64,
+}
+
+/// Other nodes.
+#[derive(Debug, Default)]
+pub struct Roster {
+    me: Option<InstanceId>,
+    peers: HashMap<InstanceId, Peer>,
+    /// Secret of the datagrams.
+    pub secret: Option<Box<[u8]>>,
+}
+
+impl Roster {
+    /// Roster of a node that knows no other.
+    #[must_use]
+    pub fn new(me: InstanceId) -> Self {
+        Self { me: Some(me), ..Self::default() }
+    }
+
+    /// Whether another node is known, and the secret to speak with it.
+    #[must_use]
+    pub fn is_introduced(&self) -> bool {
+        self.secret.is_some() && !self.peers.is_empty()
+    }
+
+    /// Nodes that are counted on, this one included.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Other nodes that are heard.
+    #[must_use]
+    pub fn heard(&self, now: Time) -> usize {
+        self.heard_peers(now).count()
+    }
+
+    /// Part of the nodes counted on that are heard, this one included.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, reason = "node counts are small")]
+    pub fn heard_share(&self, now: Time) -> f64 {
+        (self.heard(now) + 1) as f64 / self.known() as f64
+    }
+
+    /// Notes a node's address; true when it is news.
+    pub fn meet(&mut self, id: &InstanceId, address: SocketAddr, now: Time) -> bool {
+        if let Some(peer) = self.peers.get_mut(id) {
+            let moved = peer.address != address;
+            peer.address = address;
+            return moved;
+        }
+        let peer = Peer {
+            address,
+            near: false,
+            demand: 0,
+            configuration: Version(0),
+            reads: false,
+            directory: 0,
+            returned: false,
+            lifetime: 0,
+            number: 0,
+            heard: None,
+            known_since: now,
+        };
+        self.peers.insert(id.clone(), peer);
+        true
+    }
+
+    /// Whether a digest is newer than what was heard of its node; notes it if so.
+    pub fn accept(&mut self, digest: &Digest, from: SocketAddr, zone: &ZoneId, now: Time) -> bool {
+        self.meet(&digest.from, from, now);
+        let Some(peer) = self.peers.get_mut(&digest.from) else { return false };
+        if (digest.lifetime, digest.number) <= (peer.lifetime, peer.number) {
+            return false;
+        }
+        peer.lifetime = digest.lifetime;
+        peer.number = digest.number;
+        peer.heard = Some(now);
+        peer.near = digest.zone == *zone;
+        peer.demand = digest.demand;
+        peer.configuration = digest.configuration;
+        peer.reads = digest.reads;
+        peer.directory = digest.directory;
+        peer.returned = digest.returned;
+        true
+    }
+
+    fn heard_peers(&self, now: Time) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        let heard = move |peer: &Peer| peer.heard.is_some_and(|at| now.since(at) < HEARD);
+        self.peers.iter().filter(move |(_, peer)| heard(peer))
+    }
+
+    /// Newest that the other nodes have seen.
+    #[must_use]
+    pub fn told(&self, now: Time) -> Told {
+        let mut told = Told::default();
+        for (_, peer) in self.heard_peers(now) {
+            told.configuration = told.configuration.max(peer.configuration);
+            told.returned |= peer.returned;
+            if peer.reads {
+                told.directories.push(peer.directory);
+            }
+        }
+        told
+    }
+
+    /// Hash of the directory that a node stated last.
+    #[must_use]
+    pub fn directory(&self, id: &InstanceId) -> Option<u64> {
+        self.peers.get(id).map(|peer| peer.directory)
+    }
+
+    /// Whether this node is one of those that follow the store.
+    #[must_use]
+    pub fn reads(&self, now: Time) -> bool {
+        let score = |id: &InstanceId| units::score(id.as_str(), READER_KEY);
+        let Some(me) = &self.me else { return true };
+        let mine = score(me);
+        self.heard_peers(now).filter(|(id, _)| score(id) > mine).count() < READERS
+    }
+
+    /// Part of the demand of all nodes that is this node's: in its zone, and in all.
+    #[must_use]
+    pub fn parts(&self, demand: u32, now: Time) -> Parts {
+        let mine = f64::from(demand.max(1));
+        let mut near = mine;
+        let mut all = mine;
+        for (_, peer) in self.heard_peers(now) {
+            let theirs = f64::from(peer.demand.max(1));
+            all += theirs;
+            if peer.near {
+                near += theirs;
+            }
+        }
+        Parts { near: mine / near, all: mine / all }
+    }
+
+    /// Whether every node is told as often as those near.
+    #[must_use]
+    pub fn is_small(&self) -> bool {
+        self.peers.len() <= SMALL
+    }
+
+    /// Removes a node that leaves.
+    pub fn remove(&mut self, id: &InstanceId) {
+        self.peers.remove(id);
+    }
+
+    /// Removes the nodes that have been silent for too long.
+    pub fn forget(&mut self, now: Time) -> Vec<InstanceId> {
+        let silent = self.peers.iter().filter(|(_, peer)| now.since(peer.last()) > FORGET);
+        let silent: Vec<InstanceId> = silent.map(|(id, _)| id.clone()).collect();
+        for id in &silent {
+            self.peers.remove(id);
+        }
+        silent
+    }
+
+    /// Addresses of those that are near, or of all.
+    #[must_use]
+    pub fn addresses(&self, all: bool) -> Vec<SocketAddr> {
+        let told = self.peers.values().filter(|peer| all || peer.near);
+        told.map(|peer| peer.address).collect()
+    }
+
+    /// Nodes that are told often, this one included.
+    #[must_use]
+    pub fn near(&self) -> usize {
+        let near = self.peers.values().filter(|peer| peer.near).count();
+        1 + if self.is_small() { self.peers.len() } else { near }
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,8 +11,11 @@
     catalog::Kind,
     desk::{self, Flight},
     events::Sequence,
-    exchange::{self, Failure, History, Intake},
+    exchange,
+    history::{Failure, History},
+    intake::Intake,
     pool::Connection,
+    reply::millis,
 };
 use bytes::Bytes;
 use codes::Event;
@@ -281,9 +284,9 @@
         let first = self.first.unwrap_or(now).since(self.intake.arrived);
         info!(self.board.log, "answered"; Event::Answered,
             "request" => &*self.intake.head.attempt, "endpoint" => %leg.flight.endpoint(),
-            "first_ms" => exchange::millis(first),
-            "longest_pause_ms" => exchange::millis(self.longest_pause),
-            "total_ms" => exchange::millis(now.since(self.intake.arrived)),
+            "first_ms" => millis(first),
+            "longest_pause_ms" => millis(self.longest_pause),
+            "total_ms" => millis(now.since(self.intake.arrived)),
             "events" => self.events, "prompt" => self.intake.wanted.demand.prompt.get(),
             "output" => self.intake.wanted.output.get(), "runs" => self.history.runs + 1);
         self.board.metrics.count("answered", "stream");
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -12,7 +12,7 @@
 //!
 //! Entries of endpoints may lapse while the store is away, and come back
 //! shortly after its return: an entry that goes missing around that time is
-//! used for [`RETURN`] more.
+//! used for `RETURN` more.
 
 use crate::{board::Board, catalog::Catalog, desk};
 use anyhow::Result;
@@ -48,7 +48,7 @@
 /// Interval at which a node that is no reader looks whether it should be one.
 const ROLE_CHECK: Duration = Duration::from_millis(500);
 /// Longest time that a node relies on readers before it reads by itself.
-const RELIANCE: Duration = Duration::from_secs(10);
+const RELIANCE: Duration = Duration::from_secs(30);
 /// Time after the store's return in which lapsed entries come back.
 pub const RETURN: Duration = Duration::from_millis(2_200);
 
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
-use relay::peers::{Digest, Load, Roster, Spent, Told};
+use relay::{
+    digest::{Digest, Load, Spent},
+    roster::{Roster, Told},
+};
 use std::{net::SocketAddr, time::Duration};
 use units::{InstanceId, OrganisationId, Time, Version, ZoneId};
 
