Closing nodes take only what will have ended before the process does

A plain call that came 7.4 s after the signal to stop was sent on and cut by the end of the process at 7.6 s. Ruled out: streams (refused since the commit on allotments), the grace period's margin. Change: once connections close, a request is taken only if its deadline is before the end; one that comes on a new connection gets its refusal in place of a close. The test closing_node_takes_only_what_it_can_end failed before.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -96,6 +96,8 @@
     pub in_progress: Cell<usize>,
     /// Bytes of callers' bodies held.
     pub held: Cell<u64>,
+    /// When the process ends at the latest, once it was told to stop.
+    pub ends: Cell<Option<Time>>,
     /// Lifetime of this process, in Unix milliseconds of its start; a later one is larger.
     pub lifetime: u64,
     phase: watch::Sender<Phase>,
@@ -129,6 +131,7 @@
             pool: Pool::new(),
             in_progress: Cell::new(0),
             held: Cell::new(0),
+            ends: Cell::new(None),
             lifetime: unix_millis(),
             phase: watch::Sender::new(Phase::Serving),
         }
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -86,12 +86,12 @@
         Refused::new(Code::UnknownRoute, cause)
     })?);
     let organisation = organisation(&catalog, &route, &head)?;
-    if board.phase() == Phase::Closing && route.kind.is_stream() {
-        let refused = Refused::new(Code::Draining, "a stream would outlive this process");
-        return Err(refused.with_retry_after(RETRY_ELSEWHERE));
-    }
     let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
     let deadline = arrived + route.timeout.map_or(patience, |timeout| timeout.min(patience));
+    if outlives(board, &route, deadline) {
+        let refused = Refused::new(Code::Draining, "the request would outlive this process");
+        return Err(refused.with_retry_after(RETRY_ELSEWHERE));
+    }
     let (parts, body) = request.into_parts();
     let body = read_body(board, &catalog, body, deadline).await?;
     let fingerprint = fingerprint(organisation.as_deref(), parts.uri.path(), &body);
@@ -115,6 +115,12 @@
     })
 }
 
+/// Whether a request may still run when this process ends. Streams are as long as they like.
+fn outlives(board: &Board, route: &Route, deadline: Time) -> bool {
+    let ending = board.phase() == Phase::Closing;
+    ending && (route.kind.is_stream() || board.ends.get().is_some_and(|end| deadline > end))
+}
+
 fn organisation(
     catalog: &Catalog,
     route: &Route,
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -89,6 +89,7 @@
     board.enter(Phase::Draining);
     info!(board.log, "draining"; Event::Draining, "in_progress" => board.in_progress.get());
     let last = board.settings.grace.saturating_sub(GRACE_MARGIN);
+    board.ends.set(Some(begun + last));
     loop {
         tokio::time::sleep(DRAIN_TICK).await;
         let passed = board.now().since(begun);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -91,12 +91,19 @@
         let board = Rc::clone(&board);
         service_fn(move |request| exchange::handle(Rc::clone(&board), request))
     };
+    // A connection that comes late is answered once: closing it unread would tell its caller less.
+    let closing = board.phase() == Phase::Closing;
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(MAX_HEAD)
+        .keep_alive(!closing)
         .serve_connection(TokioIo::new(stream), handler);
     let mut connection = std::pin::pin!(connection);
+    if closing {
+        connection.await.ok();
+        return;
+    }
     let mut phases = board.phases();
     tokio::select! {
         // A connection ends when its caller wants; requests on it have their own log lines.
