--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -214,6 +214,11 @@
                     continue;
                 }
                 Position::Following(least) | Position::Unread(least) => {
+                    // A node that stays behind, whatever the store answers, must not ask at will.
+                    let rest = BACKOFF_MIN.saturating_sub(board.now().since(self.read_at));
+                    if self.read_at != Time::ZERO {
+                        tokio::time::sleep(rest).await;
+                    }
                     let read = read_whole(store, self.table, least).await;
                     read.map(|(rows, version)| (News::Whole(rows), version))
                 }
