--- a/crates/gateway/src/http/chat.rs
+++ b/crates/gateway/src/http/chat.rs
@@ -45,7 +45,10 @@
     http: &HttpRequest,
     payload: Payload,
 ) -> Result<HttpResponse, Refused> {
-    let head = intake::head(board, http)?;
+    let head = match intake::head(board, http) {
+        Ok(head) => head,
+        Err(refused) => return Err(intake::drain(board, payload, refused).await),
+    };
     let progress = Progress::new(board);
     let body = intake::body(board, head.request, payload).await?;
     let malformed = |detail: String| Refused::new(head.request, Code::Malformed, &detail);
--- a/crates/gateway/src/http/intake.rs
+++ b/crates/gateway/src/http/intake.rs
@@ -150,6 +150,15 @@
     }
 }
 
+/// Reads the rest of a request that is refused, within the same limits, and returns the refusal.
+///
+/// Closing a connection with unread bytes resets it, and the answer may be lost on its way.
+pub async fn drain(board: &Blackboard, payload: Payload, refused: Refused) -> Refused {
+    // Whatever is wrong with the body, the request is refused for the first reason.
+    let _ = body(board, refused.refusal.request, payload).await;
+    refused
+}
+
 /// Rank of the tier that the request names, or of `fallback`.
 pub fn rank(file: &service::File, head: &Head, fallback: &TierId) -> Result<Rank, Refused> {
     let tier = head.tier.as_ref().unwrap_or(fallback);
--- a/crates/gateway/src/http/plain.rs
+++ b/crates/gateway/src/http/plain.rs
@@ -53,10 +53,16 @@
     http: &HttpRequest,
     payload: Payload,
 ) -> Result<HttpResponse, Refused> {
-    let head = intake::head(board, http)?;
+    let checked = intake::head(board, http).and_then(|head| {
+        let target = find(board, &head, http)?;
+        let key = key(&head, &target)?;
+        Ok((head, target, key))
+    });
+    let (head, target, key) = match checked {
+        Ok(checked) => checked,
+        Err(refused) => return Err(intake::drain(board, payload, refused).await),
+    };
     let _progress = Progress::new(board);
-    let target = find(board, &head, http)?;
-    let key = key(&head, &target)?;
     let body = intake::body(board, head.request, payload).await?;
     let (intake, bid) = accept(board, head, &target, &body)?;
     let id = intake.head.request;
