--- a/crates/fake-host/src/caller.rs
+++ b/crates/fake-host/src/caller.rs
@@ -1,4 +1,4 @@
-//! One request of a caller, on a connection of its own.
+//! Requests of a caller, on connections of their own or on one that is kept.
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
@@ -7,7 +7,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::{net::SocketAddr, time::Duration};
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, task::JoinHandle};
 
 /// Longest wait for an answer.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -88,24 +88,56 @@
         self
     }
 
-    /// Sends the request and reads the answer, whole or not.
+    /// Sends the request on a connection of its own and reads the answer, whole or not.
     ///
     /// # Errors
     /// No head of an answer came.
     pub async fn send(&self, address: SocketAddr) -> Result<Answer> {
-        tokio::time::timeout(PATIENCE, self.exchange(address)).await.context("no answer in time")?
+        Line::connect(address).await?.ask(self).await
     }
 
-    async fn exchange(&self, address: SocketAddr) -> Result<Answer> {
-        let stream = TcpStream::connect(address).await?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let driver = tokio::spawn(connection);
+    fn request(&self) -> Result<Request<Full<Bytes>>> {
         let mut request = Request::builder().method(self.method.clone()).uri(&self.path);
         for (name, value) in &self.headers {
             request = request.header(name, value);
         }
-        let request = request.body(Full::new(Bytes::from(self.body.clone())))?;
-        let response = sender.send_request(request).await?;
+        Ok(request.body(Full::new(Bytes::from(self.body.clone())))?)
+    }
+}
+
+/// Connection of a caller, kept from one request to the next.
+#[derive(Debug)]
+pub struct Line {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<hyper::Result<()>>,
+}
+
+impl Line {
+    /// Connects to a node.
+    ///
+    /// # Errors
+    /// No connection can be made.
+    pub async fn connect(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        Ok(Self { sender, driver: tokio::spawn(connection) })
+    }
+
+    /// Whether another request may be sent.
+    pub async fn is_open(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and reads the answer, whole or not.
+    ///
+    /// # Errors
+    /// No head of an answer came.
+    pub async fn ask(&mut self, call: &Call) -> Result<Answer> {
+        tokio::time::timeout(PATIENCE, self.exchange(call)).await.context("no answer in time")?
+    }
+
+    async fn exchange(&mut self, call: &Call) -> Result<Answer> {
+        let response = self.sender.send_request(call.request()?).await?;
         let (parts, mut incoming) = response.into_parts();
         let mut body = Vec::new();
         let mut whole = true;
@@ -118,8 +150,13 @@
                 }
             }
         }
-        drop(sender);
-        driver.abort();
         Ok(Answer { status: parts.status, headers: parts.headers, body, whole })
     }
 }
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        // Closes the connection, as a caller does that leaves.
+        self.driver.abort();
+    }
+}
--- a/crates/fake-host/src/lib.rs
+++ b/crates/fake-host/src/lib.rs
@@ -3,11 +3,11 @@
 //! Everything listens on a loopback address of its own, so that many of them
 //! run side by side. Faults are switched at run time through the handles.
 //!
-//! * [`store`]: rows, their feed, transactions; outages, lost history.
+//! * [`store`]: rows, their feed, transactions; outages, lost answers, lost history.
 //! * [`worker`]: plain and streamed answers with receipts; crashes, lost,
 //!   rejected and spoilt answers.
 //! * [`node`]: a real process of the system, with its settings file.
-//! * [`caller`]: one request on a connection of its own.
+//! * [`caller`]: requests, on connections of their own or on one that is kept.
 
 pub mod caller;
 pub mod node;
@@ -16,7 +16,7 @@
 pub mod worker;
 
 pub use self::{
-    caller::{Answer, Call},
+    caller::{Answer, Call, Line},
     node::Node,
     scene::Scene,
     store::Store,
--- a/crates/fake-host/src/node.rs
+++ b/crates/fake-host/src/node.rs
@@ -4,7 +4,7 @@
 use parking_lot::Mutex;
 use serde_json::Value;
 use std::{
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Read},
     net::{IpAddr, SocketAddr, TcpListener, UdpSocket},
     path::Path,
     process::{Child, Command, Stdio},
@@ -29,10 +29,13 @@
     program: Box<Path>,
     directory: TempDir,
     child: Child,
-    lines: Arc<Mutex<Vec<String>>>,
-    reader: Option<JoinHandle<()>>,
+    lines: Lines,
+    readers: Vec<JoinHandle<()>>,
 }
 
+/// What a process wrote, over all its starts.
+type Lines = Arc<Mutex<Vec<String>>>;
+
 /// Free port of an address that only this process uses.
 fn port(ip: IpAddr) -> Result<u16> {
     Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
@@ -75,7 +78,8 @@
 "#
         );
         std::fs::write(directory.path().join("settings.toml"), settings)?;
-        let (child, lines, reader) = spawn(program, directory.path(), metrics)?;
+        let lines = Lines::default();
+        let (child, readers) = spawn(program, directory.path(), metrics, &lines)?;
         Ok(Self {
             callers: SocketAddr::new(ip, callers),
             readiness: SocketAddr::new(ip, readiness),
@@ -84,7 +88,7 @@
             directory,
             child,
             lines,
-            reader: Some(reader),
+            readers,
         })
     }
 
@@ -93,11 +97,8 @@
     /// # Errors
     /// The program cannot be started.
     pub fn restart(&mut self) -> Result<()> {
-        let metrics = self.metrics.port();
-        let (child, lines, reader) = spawn(&self.program, self.directory.path(), metrics)?;
-        self.child = child;
-        self.reader = Some(reader);
-        self.lines = lines;
+        let (metrics, directory) = (self.metrics.port(), self.directory.path());
+        (self.child, self.readers) = spawn(&self.program, directory, metrics, &self.lines)?;
         Ok(())
     }
 
@@ -125,7 +126,7 @@
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
             if let Some(status) = self.child.try_wait()? {
-                if let Some(reader) = self.reader.take() {
+                for reader in self.readers.drain(..) {
                     // A reader that panicked has no more lines.
                     reader.join().ok();
                 }
@@ -144,6 +145,12 @@
         found.filter_map(|line| serde_json::from_str(line).ok()).collect()
     }
 
+    /// Everything that was written so far.
+    #[must_use]
+    pub fn output(&self) -> Vec<String> {
+        self.lines.lock().clone()
+    }
+
     /// Waits for a log line that contains all of `words`.
     ///
     /// # Errors
@@ -160,25 +167,33 @@
     }
 }
 
-type Spawned = (Child, Arc<Mutex<Vec<String>>>, JoinHandle<()>);
-
-fn spawn(program: &Path, directory: &Path, metrics: u16) -> Result<Spawned> {
+fn spawn(
+    program: &Path,
+    directory: &Path,
+    metrics: u16,
+    lines: &Lines,
+) -> Result<(Child, Vec<JoinHandle<()>>)> {
     let mut child = Command::new(program)
         .arg("--metrics-port")
         .arg(metrics.to_string())
         .env("BAMBOOROAD_BOOT", directory.join("settings.toml"))
         .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
         .spawn()
         .with_context(|| format!("starting {}", program.display()))?;
     let output = child.stdout.take().context("no standard output")?;
-    let lines = Arc::new(Mutex::new(Vec::new()));
-    let kept = Arc::clone(&lines);
-    let reader = std::thread::spawn(move || {
-        for line in BufReader::new(output).lines().map_while(Result::ok) {
+    let errors = child.stderr.take().context("no standard error")?;
+    Ok((child, vec![keep(output, lines), keep(errors, lines)]))
+}
+
+/// Keeps all lines of a stream on a thread.
+fn keep(stream: impl Read + Send + 'static, lines: &Lines) -> JoinHandle<()> {
+    let kept = Arc::clone(lines);
+    std::thread::spawn(move || {
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
             kept.lock().push(line);
         }
-    });
-    Ok((child, lines, reader))
+    })
 }
 
 impl Drop for Node {
--- a/crates/fake-host/src/store.rs
+++ b/crates/fake-host/src/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's store.
 
-use anyhow::Result;
+use anyhow::{Result, ensure};
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -11,7 +11,6 @@
 use serde_json::{Value, json};
 use std::{
     collections::BTreeMap,
-    convert::Infallible,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -36,6 +35,8 @@
     /// Changes up to this version are forgotten.
     forgotten: u64,
     down: bool,
+    /// Calls take effect and get no answer.
+    mute: bool,
     delay: Duration,
     calls: u64,
 }
@@ -96,6 +97,12 @@
         self.state.lock().down = down;
     }
 
+    /// Makes the store carry out calls and close their connections without an answer, or answer
+    /// again.
+    pub fn set_mute(&self, mute: bool) {
+        self.state.lock().mute = mute;
+    }
+
     /// Delays every answer.
     pub fn set_delay(&self, delay: Duration) {
         self.state.lock().delay = delay;
@@ -117,7 +124,7 @@
 async fn answer(
     state: Arc<Mutex<State>>,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<Full<Bytes>>> {
     let (down, delay) = {
         let mut state = state.lock();
         state.calls += 1;
@@ -138,6 +145,7 @@
         }
         _ => (StatusCode::NOT_FOUND, Value::Null),
     };
+    ensure!(!state.lock().mute, "the answer is lost");
     Ok(respond(status, &value))
 }
 
