--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -7,6 +7,7 @@
     catalog::{Catalog, Organisation},
     desk::Desk,
     dialect::Dialect,
+    journal::Journal,
     metrics::Metrics,
     pool::Pool,
     roster::Roster,
@@ -64,10 +65,8 @@
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// Whether the endpoints have been read from the store once.
     pub listed: Cell<bool>,
-    /// Hash of the directory as it is known.
-    pub directory: Cell<u64>,
-    /// Whether a node that reads the store has taken over a directory other than this one's.
-    pub differs: Cell<bool>,
+    /// Versions of the directory's entries.
+    pub journal: RefCell<Journal>,
     /// When the store was last reached again after a failure.
     pub store_returned: Cell<Option<Time>>,
     /// Something that the other nodes should hear at once.
@@ -115,8 +114,7 @@
             metrics: Metrics::new(),
             catalog: RefCell::default(),
             listed: Cell::new(false),
-            directory: Cell::new(0),
-            differs: Cell::new(false),
+            journal: RefCell::default(),
             store_returned: Cell::new(None),
             news: Notify::new(),
             behind: Notify::new(),
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -50,7 +50,7 @@
     /// Size of a request out of its headers.
     #[must_use]
     pub fn demand(head: &caller::Head) -> Demand {
-        Demand { prompt: head.prompt.unwrap_or_default() }
+        Demand { prompt: head.prompt.unwrap_or_default(), output: head.output.unwrap_or_default() }
     }
 
     /// The same request under other terms, before all that have not begun.
@@ -318,12 +318,12 @@
     let waiters = &desk.waiters;
     let (bid, choice) = line.next(now, |bid| {
         let waiter = waiters.get(&bid.request)?;
-        let demand = Demand { prompt: bid.prompt };
+        let demand = Demand { prompt: bid.prompt, output: bid.output };
         let (avoid, pause) = (&*waiter.avoid, waiter.pause);
         fleet.pick(&Ask { service, demand, avoid, connections, pause }, now)
     })?;
     let waiter = desk.waiters.remove(&bid.request)?;
-    let demand = Demand { prompt: bid.prompt };
+    let demand = Demand { prompt: bid.prompt, output: bid.output };
     fleet.begin(&choice.endpoint, demand);
     let flight = Flight {
         board: Rc::clone(board),
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -1,8 +1,10 @@
 //! What a node tells the others, as an authenticated datagram.
 //!
-//! A digest carries sums and present values, never changes, so that a lost
-//! one costs nothing but its age.
+//! A digest carries sums and present values, so that a lost one costs nothing
+//! but its age. Only changes of the directory are told as such, several times
+//! and with the version that they follow on; see [`crate::journal`].
 
+use crate::journal::Excerpt;
 use anyhow::{Context, Result, ensure};
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
@@ -30,10 +32,8 @@
     pub leaving: bool,
     /// Version of the configuration that it has in force.
     pub configuration: Version,
-    /// Whether it follows the store for all.
-    pub reads: bool,
-    /// Hash of the directory as it knows it.
-    pub directory: u64,
+    /// What it tells of the directory, if it follows the store for all.
+    pub directory: Option<Excerpt>,
     /// Whether the store came back so recently that entries may be missing.
     pub returned: bool,
     /// Requests waiting and those that have just arrived.
@@ -83,7 +83,10 @@
     /// Whether there is nothing new in a later digest.
     #[must_use]
     pub fn says_the_same(&self, later: &Self) -> bool {
-        self.loads == later.loads && self.spent == later.spent && self.strikes == later.strikes
+        self.loads == later.loads
+            && self.spent == later.spent
+            && self.strikes == later.strikes
+            && self.directory == later.directory
     }
 
     /// Datagram with its code of authenticity.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -98,7 +98,7 @@
     if let (Err(refused), Some(organisation)) = (&result, &intake.organisation)
         && refused.code.executed() == Executed::Never
     {
-        board.meter.borrow_mut().refund(&organisation.id, cost);
+        board.meter.borrow_mut().refund(&organisation.id, cost, board.now());
     }
     result
 }
@@ -219,9 +219,12 @@
     let head = board.dialect.answer(parts.status, &parts.headers);
     flight.gauge(head.gauge);
     if let Err(failure) = check(intake, parts.status, &head) {
-        let not_run = matches!(failure, Failure::NotRun(_));
-        flight.end(if not_run { Outcome::Full } else { Outcome::Failed });
-        if not_run && body.collect().await.is_ok() {
+        flight.end(match failure {
+            Failure::NotRun(StatusCode::MISDIRECTED_REQUEST) => Outcome::Misplaced,
+            Failure::NotRun(_) => Outcome::Full,
+            _ => Outcome::Failed,
+        });
+        if matches!(failure, Failure::NotRun(_)) && body.collect().await.is_ok() {
             board.pool.put(connection, head.keep_alive, idle(board, intake), board.now());
         }
         return Err(failure);
--- /dev/null
+++ b/crates/relay/src/journal.rs
@@ -0,0 +1,213 @@
+//! Changes of the directory of endpoints, as nodes pass them on.
+//!
+//! Load pattern: hundreds of nodes that each read a directory of thousands of
+//! entries after every change fill their own links with it. Here the few nodes
+//! that follow the store tell the others what has changed.
+//!
+//! The store numbers all its changes. A node's *head* is the version up to
+//! which it knows the directory. Those that follow the store tell an
+//! [`Excerpt`]: their head, a *base*, and every change that they noted since
+//! the base. Whoever knows the directory up to the base knows it up to the
+//! head after taking over the changes; whoever does not has a gap and reads
+//! the directory whole.
+//!
+//! A node that follows the store in steps does not see what changes and changes
+//! back within a step. Another one may have told the state in between, which
+//! the first would never correct. So an excerpt states the fingerprint of the
+//! teller's directory as well, and whoever arrives at the same head with
+//! another one has a gap too.
+//!
+//! Invariants:
+//! * an entry is never replaced by an older version of it;
+//! * the head only grows, and only over changes that were taken over.
+
+use sched::fleet::Listing;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+use units::{EndpointId, Time, Version};
+
+/// Time for which a change is told: several tellings, so that some may be lost.
+const TOLD: Duration = Duration::from_secs(5);
+/// Changes that are told at once; a change takes some 80 bytes of a datagram.
+const MOST_TOLD: usize = 40;
+/// Time for which the version of a removed entry is kept, so that no older news brings it back.
+const REMOVED_KEPT: Duration = Duration::from_secs(60);
+
+/// Change of one endpoint's entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Endpoint.
+    pub id: EndpointId,
+    /// Version of the entry.
+    pub version: Version,
+    /// Its entry; none when it was removed.
+    pub listing: Option<Listing>,
+}
+
+/// What a node tells of the directory.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Excerpt {
+    /// Version after which all changes are told.
+    pub base: Version,
+    /// Version up to which the teller knows the directory.
+    pub head: Version,
+    /// Fingerprint of the directory at the head.
+    pub fingerprint: u64,
+    /// Changes.
+    pub changes: Box<[Change]>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Known {
+    version: Version,
+    /// Hash of the entry; zero when there is none.
+    hash: u64,
+    removed: Option<Time>,
+}
+
+#[derive(Debug)]
+struct Noted {
+    change: Change,
+    at: Time,
+    /// Head when it was noted.
+    head: Version,
+}
+
+fn hash(listing: &Listing) -> u64 {
+    units::score(listing.id.as_str(), &format!("{listing:?}"))
+}
+
+/// Versions that a node knows, and changes that it tells.
+#[derive(Debug, Default)]
+pub struct Journal {
+    head: Version,
+    base: Version,
+    known: BTreeMap<EndpointId, Known>,
+    recent: VecDeque<Noted>,
+    /// Hashes of all entries, combined.
+    fingerprint: u64,
+    /// Largest head that was told and could not be taken over.
+    needed: Version,
+    /// Another node has another directory at the same head.
+    differs: bool,
+    /// Changes noted since the start.
+    noted: u64,
+    told_at: Time,
+}
+
+impl Journal {
+    /// Journal of a node that knows nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Version up to which the directory is known.
+    #[must_use]
+    pub const fn head(&self) -> Version {
+        self.head
+    }
+
+    /// Notes that the store was followed up to a version, with all changes taken over.
+    pub fn advance(&mut self, head: Version) {
+        if self.head == Version(0) {
+            // What came with the first reading is no change to anyone.
+            self.base = head;
+            self.recent.clear();
+        }
+        self.head = self.head.max(head);
+        self.differs = false;
+    }
+
+    /// Changes noted since the start.
+    #[must_use]
+    pub const fn noted(&self) -> u64 {
+        self.noted
+    }
+
+    /// Whether a version of an entry is newer than what is known of it.
+    #[must_use]
+    pub fn is_news(&self, id: &EndpointId, version: Version) -> bool {
+        self.known.get(id).is_none_or(|known| version > known.version)
+    }
+
+    /// Notes a version of an entry that says the same as the one before.
+    pub fn see(&mut self, id: &EndpointId, version: Version) {
+        self.known.entry(id.clone()).or_default().version = version;
+    }
+
+    /// Notes a change that was taken over.
+    pub fn note(&mut self, change: Change, now: Time) {
+        let removed = change.listing.is_none().then_some(now);
+        let hash = change.listing.as_ref().map_or(0, hash);
+        let known = Known { version: change.version, hash, removed };
+        let before = self.known.insert(change.id.clone(), known).unwrap_or_default();
+        self.fingerprint ^= before.hash ^ hash;
+        self.noted += 1;
+        self.recent.push_back(Noted { change, at: now, head: self.head });
+    }
+
+    /// What is told of the directory.
+    pub fn excerpt(&mut self, now: Time) -> Excerpt {
+        while let Some(first) = self.recent.front()
+            && (now.since(first.at) > TOLD || self.recent.len() > MOST_TOLD)
+        {
+            // The change may have come after the head of its time.
+            self.base = self.base.max(first.head).max(first.change.version);
+            self.recent.pop_front();
+        }
+        let old = |known: &Known| known.removed.is_some_and(|at| now.since(at) > REMOVED_KEPT);
+        self.known.retain(|_, known| !old(known));
+        let changes = self.recent.iter().map(|noted| noted.change.clone()).collect();
+        let (head, fingerprint) = (self.head, self.fingerprint);
+        Excerpt { base: self.base.min(head), head, fingerprint, changes }
+    }
+
+    /// Whether the changes of an excerpt follow on what is known here.
+    fn follows(&self, excerpt: &Excerpt) -> bool {
+        self.head != Version(0) && excerpt.base <= self.head && excerpt.head >= self.head
+    }
+
+    /// Changes of an excerpt that are to be taken over.
+    #[must_use]
+    pub fn news(&self, excerpt: &Excerpt) -> Vec<Change> {
+        if !self.follows(excerpt) {
+            return Vec::new();
+        }
+        let is_new = |change: &&Change| {
+            change.version > self.head && self.is_news(&change.id, change.version)
+        };
+        excerpt.changes.iter().filter(is_new).cloned().collect()
+    }
+
+    /// Notes what another node told, once its news were taken over.
+    pub fn hear(&mut self, excerpt: &Excerpt, now: Time) {
+        if excerpt.head > self.head {
+            self.told_at = now;
+        }
+        if excerpt.head < self.head {
+            return;
+        }
+        if self.follows(excerpt) && excerpt.fingerprint == self.fingerprint {
+            self.head = excerpt.head;
+        } else {
+            self.needed = self.needed.max(excerpt.head);
+            self.differs = excerpt.head == self.head;
+        }
+    }
+
+    /// When another node last told of a version that was new here.
+    #[must_use]
+    pub const fn told_at(&self) -> Time {
+        self.told_at
+    }
+
+    /// Whether another node told of changes that follow on ones that are not known here.
+    #[must_use]
+    pub fn has_gap(&self) -> bool {
+        self.differs || self.needed > self.head
+    }
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -16,7 +16,7 @@
     board::Board,
     desk,
     digest::{Digest, Load, Spent, Strike, tag},
-    roster::Roster,
+    directory,
     watch::{self, Fault, RETURN, Store, Table},
 };
 use codes::Event;
@@ -30,10 +30,6 @@
 use tokio::net::UdpSocket;
 use units::{InstanceId, Time, Tokens, Version};
 
-/// Shortest interval between two digests: a tenth of the time for which a stream holds its slot.
-const INTERVAL_MIN: Duration = Duration::from_millis(100);
-/// Interval for each other node: the budget of datagrams that a node receives is 70 a second.
-const INTERVAL_PER_NODE: Duration = Duration::from_millis(14);
 /// Longest time without a digest to a node near, a fifth of the time after which it is not heard.
 const IDLE_MOST: Duration = Duration::from_millis(500);
 /// Interval at which the nodes' rows are read; a new node makes itself heard before that.
@@ -134,17 +130,17 @@
         }
     };
     let now = board.now();
-    let before = board.roster.borrow().directory(&digest.from);
     if digest.from == board.settings.instance
         || !board.roster.borrow_mut().accept(&digest, from, &board.settings.zone, now)
     {
         return;
     }
     take_over(board, &digest, now);
-    let changed = digest.reads && before != Some(digest.directory);
-    let differs = changed && digest.directory != board.directory.get();
-    board.differs.set(board.differs.get() || differs);
-    if digest.configuration > board.version() || differs {
+    let changed = digest.directory.as_ref().is_some_and(|told| directory::hear(board, told));
+    if changed {
+        desk::pump_all(board);
+    }
+    if digest.configuration > board.version() || board.journal.borrow().has_gap() {
         board.behind.notify_waiters();
     }
 }
@@ -190,7 +186,7 @@
     let mut told_near = Time::ZERO;
     let mut told_all = Time::ZERO;
     loop {
-        let interval = intervals(&board.roster.borrow());
+        let interval = board.roster.borrow().intervals(board.now());
         // News are told at once, everything else at the interval.
         let news = tokio::time::timeout(interval.near, board.news.notified()).await.is_ok();
         forget(&board);
@@ -217,19 +213,6 @@
     }
 }
 
-struct Intervals {
-    near: Duration,
-    all: Duration,
-}
-
-fn intervals(roster: &Roster) -> Intervals {
-    let span = |nodes: usize| {
-        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-        INTERVAL_MIN.max(INTERVAL_PER_NODE * nodes)
-    };
-    Intervals { near: span(roster.near()), all: span(roster.known()) }
-}
-
 fn deal(board: &Rc<Board>, interval: Duration) {
     let now = board.now();
     let demand = board.desk.borrow_mut().take_demand();
@@ -240,7 +223,10 @@
         Distance::Zone if !small => parts.near,
         _ => parts.all,
     };
-    board.fleet.borrow_mut().deal(part, interval, rand::random, now);
+    let mut fleet = board.fleet.borrow_mut();
+    fleet.set_share_ttl(board.roster.borrow().horizon());
+    fleet.deal(part, interval, rand::random, now);
+    drop(fleet);
     desk::pump_all(board);
 }
 
@@ -254,6 +240,8 @@
 }
 
 fn digest(board: &Board, number: u64) -> Digest {
+    let now = board.now();
+    let reads = board.listed.get() && board.roster.borrow().reads(now);
     let fleet = board.fleet.borrow();
     let loads = fleet.shares().map(|(id, share)| Load {
         endpoint: tag(id),
@@ -261,11 +249,16 @@
         unread: share.unread.0,
     });
     let meter = board.meter.borrow();
-    let spent =
-        meter.totals().map(|(id, tokens, asked)| Spent { organisation: id.clone(), tokens, asked });
+    // A total that has not changed for some digests is known to all.
+    let since = now - board.roster.borrow().horizon();
+    let spent = meter.totals(since).map(|(id, tokens, asked)| Spent {
+        organisation: id.clone(),
+        tokens,
+        asked,
+    });
     let mut spent: Vec<Spent> = spent.collect();
     spent.sort_by(|a, b| a.organisation.cmp(&b.organisation));
-    let strikes = board.ledger.borrow().records(board.now());
+    let strikes = board.ledger.borrow().records(now);
     let strikes = strikes.into_iter().take(MAX_STRIKES).map(|(fingerprint, count, age)| Strike {
         fingerprint,
         count,
@@ -278,9 +271,8 @@
         zone: board.settings.zone.clone(),
         leaving: false,
         configuration: board.version(),
-        reads: board.roster.borrow().reads(board.now()),
-        directory: board.directory.get(),
-        returned: board.store_returned.get().is_some_and(|at| board.now().since(at) < RETURN),
+        directory: reads.then(|| board.journal.borrow_mut().excerpt(now)),
+        returned: board.store_returned.get().is_some_and(|at| now.since(at) < RETURN),
         demand: board.demand.get(),
         loads: loads.collect(),
         spent: spent.into(),
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -7,8 +7,17 @@
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 use units::{InstanceId, Time, Version, ZoneId};
 
+/// Shortest interval between two digests: a tenth of the time for which a stream holds its slot.
+const INTERVAL_MIN: Duration = Duration::from_millis(100);
+/// Interval for each other node: the budget of datagrams that a node receives is 70 a second.
+const INTERVAL_PER_NODE: Duration = Duration::from_millis(14);
+/// Longest interval at which a node that follows the store tells all others, well within
+/// [`HEARD`]; they are few.
+const READER_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time without a digest after which a node is not heard.
 const HEARD: Duration = Duration::from_millis(2_500);
+/// The same for a node that tells this one seldom, in intervals.
+const HEARD_INTERVALS: u32 = 3;
 /// Time without a digest after which a node is no longer counted on.
 const FORGET: Duration = Duration::from_secs(30);
 /// Other nodes up to which all are told as often as those near.
@@ -25,7 +34,6 @@
     demand: u32,
     configuration: Version,
     reads: bool,
-    directory: u64,
     returned: bool,
     lifetime: u64,
     number: u64,
@@ -40,22 +48,26 @@
 }
 
 /// What other nodes have seen.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Told {
     /// Newest configuration in force.
     pub configuration: Version,
-    /// Hashes of the directory at the nodes that read the store.
-    pub directories: Vec<u64>,
     /// Whether the store came back so recently that entries may be missing.
     pub returned: bool,
 }
 
-impl Told {
-    /// Whether none of the nodes that read the store knows the directory `own`.
-    #[must_use]
-    pub fn differs(&self, own: u64) -> bool {
-        !self.directories.is_empty() && !self.directories.contains(&own)
-    }
+/// Intervals between two digests of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Intervals {
+    /// To those near.
+    pub near: Duration,
+    /// To all.
+    pub all: Duration,
+}
+
+fn interval(nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    INTERVAL_MIN.max(INTERVAL_PER_NODE * nodes)
 }
 
 /// This node's part of the demand.
@@ -121,7 +133,6 @@
             demand: 0,
             configuration: Version(0),
             reads: false,
-            directory: 0,
             returned: false,
             lifetime: 0,
             number: 0,
@@ -145,14 +156,32 @@
         peer.near = digest.zone == *zone;
         peer.demand = digest.demand;
         peer.configuration = digest.configuration;
-        peer.reads = digest.reads;
-        peer.directory = digest.directory;
+        peer.reads = digest.directory.is_some();
         peer.returned = digest.returned;
         true
     }
 
+    /// Intervals of this node's digests.
+    #[must_use]
+    pub fn intervals(&self, now: Time) -> Intervals {
+        let all = interval(self.known());
+        let all = if self.reads(now) { all.min(READER_INTERVAL) } else { all };
+        let near = interval(self.near());
+        Intervals { near, all: all.max(near) }
+    }
+
+    /// Time without a digest after which a node is not heard that tells this one seldom.
+    #[must_use]
+    pub fn horizon(&self) -> Duration {
+        HEARD.max(interval(self.known()) * HEARD_INTERVALS)
+    }
+
     fn heard_peers(&self, now: Time) -> impl Iterator<Item = (&InstanceId, &Peer)> {
-        let heard = move |peer: &Peer| peer.heard.is_some_and(|at| now.since(at) < HEARD);
+        let horizon = self.horizon();
+        let heard = move |peer: &Peer| {
+            let limit = if peer.near || peer.reads { HEARD } else { horizon };
+            peer.heard.is_some_and(|at| now.since(at) < limit)
+        };
         self.peers.iter().filter(move |(_, peer)| heard(peer))
     }
 
@@ -163,19 +192,10 @@
         for (_, peer) in self.heard_peers(now) {
             told.configuration = told.configuration.max(peer.configuration);
             told.returned |= peer.returned;
-            if peer.reads {
-                told.directories.push(peer.directory);
-            }
         }
         told
     }
 
-    /// Hash of the directory that a node stated last.
-    #[must_use]
-    pub fn directory(&self, id: &InstanceId) -> Option<u64> {
-        self.peers.get(id).map(|peer| peer.directory)
-    }
-
     /// Whether this node is one of those that follow the store.
     #[must_use]
     pub fn reads(&self, now: Time) -> bool {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -5,16 +5,17 @@
 //! A page that is older than what was seen before is not taken over. While the
 //! store cannot be reached, everything that was known stays in force.
 //!
-//! Few nodes follow the store for all: those that [`crate::peers`] names
-//! readers. They tell the others which versions they have seen, and each reads
-//! the table itself when it is behind. The store is asked at a rate that does
-//! not grow with the number of nodes, but for one read a node and change.
+//! Few nodes follow the store for all: those that [`crate::roster`] names
+//! readers. They tell the others which configuration they have seen and what
+//! has changed in the directory ([`crate::journal`]); another node reads a
+//! table itself only when there is a newer configuration, or changes that it
+//! was not told.
 //!
 //! Entries of endpoints may lapse while the store is away, and come back
 //! shortly after its return: an entry that goes missing around that time is
 //! used for `RETURN` more.
 
-use crate::{board::Board, catalog::Catalog, desk};
+use crate::{board::Board, catalog::Catalog, desk, directory};
 use anyhow::Result;
 use bytes::Bytes;
 use codes::Event;
@@ -47,7 +48,8 @@
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
 /// Interval at which a node that is no reader looks whether it should be one.
 const ROLE_CHECK: Duration = Duration::from_millis(500);
-/// Longest time that a node relies on readers before it reads by itself.
+/// Longest time that a node relies on readers that tell nothing new before it reads by itself; the
+/// store's versions move on with every heartbeat of an endpoint.
 const RELIANCE: Duration = Duration::from_secs(30);
 /// Time after the store's return in which lapsed entries come back.
 pub const RETURN: Duration = Duration::from_millis(2_200);
@@ -70,6 +72,8 @@
     pub key: Box<str>,
     /// Value; none when the row was deleted.
     pub value: Option<Bytes>,
+    /// Version of the store that wrote it.
+    pub version: Version,
 }
 
 /// Rows as of one moment, or changes up to it.
@@ -144,7 +148,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum News {
     /// All rows.
-    Whole(Vec<Row>),
+    Whole(Vec<Row>, Version),
     /// Changed rows.
     Changes(Vec<Row>),
 }
@@ -202,6 +206,7 @@
     /// Next news; waits out failures.
     async fn next<S: Store>(&mut self, board: &Board, store: &S) -> News {
         loop {
+            self.skip_told(board);
             let step = match self.position {
                 Position::Following(after) if board.roster.borrow().reads(board.now()) => {
                     let followed = store.follow(self.table, after, self.wait).await;
@@ -220,7 +225,7 @@
                         tokio::time::sleep(rest).await;
                     }
                     let read = read_whole(store, self.table, least).await;
-                    read.map(|(rows, version)| (News::Whole(rows), version))
+                    read.map(|(rows, version)| (News::Whole(rows, version), version))
                 }
             };
             self.read_at = board.now();
@@ -241,10 +246,18 @@
         let told = board.roster.borrow().told(now);
         let newer = match self.table {
             Table::Configuration => told.configuration > board.version(),
-            Table::Endpoints => board.differs.take() || told.differs(board.directory.get()),
+            Table::Endpoints => board.journal.borrow().has_gap(),
             Table::Nodes => false,
         };
-        newer || now.since(self.read_at) > RELIANCE
+        let last = self.read_at.max(board.journal.borrow().told_at());
+        newer || now.since(last) > RELIANCE
+    }
+
+    /// Follows on what other nodes told of the directory.
+    fn skip_told(&mut self, board: &Board) {
+        if let (Table::Endpoints, Position::Following(after)) = (self.table, self.position) {
+            self.position = Position::Following(after.max(board.journal.borrow().head()));
+        }
     }
 
     fn note_reached(&mut self, board: &Board) {
@@ -292,7 +305,7 @@
     }
     let mut follower = Follower::new(Table::Configuration, CONFIGURATION_WAIT);
     loop {
-        let (News::Whole(rows) | News::Changes(rows)) = follower.next(&board, &*store).await;
+        let (News::Whole(rows, _) | News::Changes(rows)) = follower.next(&board, &*store).await;
         let empty = rows.is_empty();
         for value in rows.into_iter().filter_map(|row| row.value) {
             match store.catalog(&value) {
@@ -316,32 +329,44 @@
         "version" => catalog.version.get(), "before" => before.map(Version::get),
         "routes" => catalog.len());
     *board.catalog.borrow_mut() = Some(Rc::new(catalog));
-    board.news.notify_one();
+    tell(board);
+}
+
+/// Has the other nodes told at once, if this is one that follows the store for all.
+fn tell(board: &Board) {
+    if board.roster.borrow().reads(board.now()) {
+        board.news.notify_one();
+    }
 }
 
 /// Keeps the list of endpoints.
 pub async fn endpoints<S: Store>(board: Rc<Board>, store: Rc<S>) {
     let mut follower = Follower::new(Table::Endpoints, ENDPOINTS_WAIT);
-    let mut missing: BTreeMap<EndpointId, Time> = BTreeMap::new();
+    let mut missing: BTreeMap<EndpointId, Missing> = BTreeMap::new();
     loop {
         let asked = board.now();
         let news = follower.next(&board, &*store).await;
         let now = board.now();
-        for id in take_over(&board, &*store, news) {
-            missing.entry(id).or_insert(now);
+        let noted = board.journal.borrow().noted();
+        for (id, version) in take_over(&board, &*store, news) {
+            missing.entry(id).or_insert(Missing { since: now, version });
         }
         let wait = follower.has_just_returned(&board, now);
-        missing.retain(|id, since| {
-            if is_listed_again(&board, id, *since) {
+        missing.retain(|id, missing| {
+            if is_listed_again(&board, id, missing.since) {
                 return false;
             }
-            let over = !wait || now.since(*since) >= RETURN;
+            let over = !wait || now.since(missing.since) >= RETURN;
             if over {
-                remove(&board, id);
+                directory::remove(&board, id, missing.version);
             }
             !over
         });
-        note_directory(&board);
+        let Position::Following(head) = follower.position else { continue };
+        board.journal.borrow_mut().advance(head);
+        if board.journal.borrow().noted() > noted {
+            tell(&board);
+        }
         board.listed.set(true);
         desk::pump_all(&board);
         let reads = board.roster.borrow().reads(now);
@@ -351,68 +376,46 @@
     }
 }
 
+/// Entry that the store does not hold any more.
+struct Missing {
+    since: Time,
+    version: Version,
+}
+
 /// Whether an entry that was missing has come back since.
 fn is_listed_again(board: &Board, id: &EndpointId, since: Time) -> bool {
     board.fleet.borrow().listed_at(id).is_some_and(|at| at > since)
 }
 
-/// Takes the hash of the directory anew; other nodes hear of a change at once.
-fn note_directory(board: &Board) {
-    let hash = board.fleet.borrow().fingerprint();
-    if board.directory.replace(hash) != hash {
-        board.news.notify_one();
-    }
-}
-
-fn remove(board: &Board, id: &EndpointId) {
-    if board.fleet.borrow_mut().remove(id) {
-        info!(board.log, "endpoint gone"; Event::EndpointLeaving, "endpoint" => %id,
-            "reason" => "not listed any more");
-    }
-}
-
-/// Takes over rows of the directory and returns the endpoints that are missing in it.
-fn take_over<S: Store>(board: &Board, store: &S, news: News) -> Vec<EndpointId> {
+/// Takes over rows of the directory and returns the endpoints that are missing in it, with the
+/// versions at which they were seen to be.
+fn take_over<S: Store>(board: &Board, store: &S, news: News) -> Vec<(EndpointId, Version)> {
     let mut missing = Vec::new();
     let (rows, whole) = match news {
-        News::Whole(rows) => (rows, true),
-        News::Changes(rows) => (rows, false),
+        News::Whole(rows, version) => (rows, Some(version)),
+        News::Changes(rows) => (rows, None),
     };
     let mut present = BTreeSet::new();
     for row in rows {
         let Ok(id) = EndpointId::new(&row.key) else { continue };
         let Some(value) = row.value else {
-            missing.push(id);
+            missing.push((id, row.version));
             continue;
         };
         match store.listing(&row.key, &value) {
-            Ok(listing) => list(board, listing),
+            Ok(listing) => directory::list(board, listing, row.version),
             Err(e) => {
                 info!(board.log, "entry ignored"; Event::EntryIgnored, "endpoint" => %id,
                     "error" => format!("{e:#}"));
-                missing.push(id.clone());
+                missing.push((id.clone(), row.version));
             }
         }
         present.insert(id);
     }
-    if whole {
+    if let Some(version) = whole {
         let fleet = board.fleet.borrow();
-        missing.extend(fleet.ids().filter(|id| !present.contains(*id)).cloned());
+        let absent = fleet.ids().filter(|id| !present.contains(*id));
+        missing.extend(absent.map(|id| (id.clone(), version)));
     }
     missing
 }
-
-fn list(board: &Board, listing: Listing) {
-    let distance = board.settings.distance(&listing.zone);
-    let mut fleet = board.fleet.borrow_mut();
-    let known = fleet.address(&listing.id).is_some();
-    let id = listing.id.clone();
-    let leaving = listing.leaving;
-    let service = listing.service.clone();
-    if !fleet.list(listing, distance, board.now()) {
-        return;
-    }
-    let event = if leaving { Event::EndpointLeaving } else { Event::EndpointJoined };
-    info!(board.log, "endpoint listed"; event, "endpoint" => %id, "service" => %service,
-        "leaving" => leaving, "known" => known);
-}
--- /dev/null
+++ b/crates/relay/tests/journal.rs
@@ -0,0 +1,165 @@
+//! Directories that follow the store only by what readers tell.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
+use proptest::prelude::*;
+use relay::journal::{Change, Journal};
+use sched::fleet::Listing;
+use std::{collections::BTreeMap, time::Duration};
+use units::{EndpointId, ServiceId, Time, Version, ZoneId};
+
+fn id(number: u8) -> EndpointId {
+    EndpointId::new(&format!("e-{number}")).unwrap()
+}
+
+fn listing(number: u8, leaving: bool) -> Listing {
+    Listing {
+        id: id(number),
+        service: ServiceId::new("llm").unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: ZoneId::new("z").unwrap(),
+        slots: 10,
+        leaving,
+        born: None,
+    }
+}
+
+/// Store: entries with the versions that wrote them.
+#[derive(Default)]
+struct Table {
+    version: u64,
+    rows: BTreeMap<EndpointId, (Version, Option<Listing>)>,
+}
+
+impl Table {
+    fn write(&mut self, number: u8, state: u8) {
+        self.version += 1;
+        let listing = (state > 0).then(|| listing(number, state > 1));
+        self.rows.insert(id(number), (Version(self.version), listing));
+    }
+}
+
+/// Node: what it believes, and its journal.
+#[derive(Default)]
+struct Node {
+    believed: BTreeMap<EndpointId, Listing>,
+    journal: Journal,
+}
+
+impl Node {
+    fn take(&mut self, id: &EndpointId, version: Version, listing: Option<Listing>, now: Time) {
+        if !self.journal.is_news(id, version) {
+            return;
+        }
+        let before = self.believed.get(id).cloned();
+        match &listing {
+            Some(listing) => self.believed.insert(id.clone(), listing.clone()),
+            None => self.believed.remove(id),
+        };
+        if before == listing {
+            self.journal.see(id, version);
+        } else {
+            self.journal.note(Change { id: id.clone(), version, listing }, now);
+        }
+    }
+
+    fn read(&mut self, table: &Table, now: Time) {
+        for (id, (version, listing)) in &table.rows {
+            self.take(id, *version, listing.clone(), now);
+        }
+        self.journal.advance(Version(table.version));
+    }
+
+    fn hear(&mut self, reader: &mut Self, now: Time) {
+        let excerpt = reader.journal.excerpt(now);
+        for change in self.journal.news(&excerpt) {
+            self.take(&change.id, change.version, change.listing, now);
+        }
+        self.journal.hear(&excerpt, now);
+    }
+
+    /// Whether everything up to the head is believed.
+    fn is_whole(&self, table: &Table) -> bool {
+        let due = table.rows.iter().filter(|(_, (version, _))| *version <= self.journal.head());
+        due.into_iter().all(|(id, (_, listing))| self.believed.get(id) == listing.as_ref())
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Write(u8, u8),
+    Follow(usize),
+    Tell(usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..12u8, 0..3u8).prop_map(|(number, state)| Step::Write(number, state)),
+        2 => (0..2usize).prop_map(Step::Follow),
+        3 => (0..2usize).prop_map(Step::Tell),
+        1 => (0..4_000u64).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    /// Two readers follow at their own pace; tellings may be far apart, so that changes between
+    /// them were dropped.
+    #[test]
+    fn what_is_known_up_to_the_head_is_what_the_store_holds(
+        steps in prop::collection::vec(step(), 1..400),
+    ) {
+        let mut table = Table::default();
+        let mut now = Time::from_millis(1_000);
+        let mut readers = [Node::default(), Node::default()];
+        let mut node = Node::default();
+        table.write(0, 1);
+        for reader in &mut readers {
+            reader.read(&table, now);
+        }
+        node.read(&table, now);
+        for step in steps {
+            match step {
+                Step::Write(number, state) => table.write(number, state),
+                Step::Follow(reader) => readers[reader].read(&table, now),
+                Step::Tell(reader) => node.hear(&mut readers[reader], now),
+                Step::Wait(ms) => now = now + Duration::from_millis(ms),
+            }
+            if node.journal.has_gap() {
+                node.read(&table, now);
+            }
+            prop_assert!(node.is_whole(&table));
+        }
+    }
+}
+
+#[test]
+fn node_that_was_told_everything_never_reads() {
+    let mut table = Table::default();
+    let mut now = Time::from_millis(1_000);
+    let (mut reader, mut node) = (Node::default(), Node::default());
+    table.write(0, 1);
+    reader.read(&table, now);
+    node.read(&table, now);
+    for round in 0..200u8 {
+        table.write(round % 30, 1 + round % 2);
+        reader.read(&table, now);
+        // Every third telling is lost.
+        if round % 3 > 0 {
+            node.hear(&mut reader, now);
+        }
+        assert!(!node.journal.has_gap(), "round {round}");
+        now = now + Duration::from_secs(1);
+    }
+    assert!(node.is_whole(&table));
+}
+
+#[test]
+fn older_news_do_not_bring_back_a_removed_entry() {
+    let now = Time::from_millis(1_000);
+    let mut journal = Journal::new();
+    journal.advance(Version(1));
+    journal.note(Change { id: id(1), version: Version(9), listing: None }, now);
+    assert!(!journal.is_news(&id(1), Version(8)));
+    assert!(journal.is_news(&id(1), Version(10)));
+}
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -4,6 +4,7 @@
 
 use relay::{
     digest::{Digest, Load, Spent},
+    journal::Excerpt,
     roster::{Roster, Told},
 };
 use std::{net::SocketAddr, time::Duration};
@@ -17,8 +18,7 @@
         zone: ZoneId::new(zone).unwrap(),
         leaving: false,
         configuration: Version(3),
-        reads: true,
-        directory: 40,
+        directory: Some(Excerpt::default()),
         returned: false,
         demand: 10,
         loads: Box::new([Load { endpoint: 1, flights: 2, unread: 3 }]),
--- a/crates/relay/tests/watch.rs
+++ b/crates/relay/tests/watch.rs
@@ -47,7 +47,7 @@
 }
 
 fn page(keys: &[&str], version: u64, more: bool) -> Page {
-    let row = |key: &&str| Row { key: (*key).into(), value: None };
+    let row = |key: &&str| Row { key: (*key).into(), value: None, version: Version(version) };
     Page { rows: keys.iter().map(row).collect(), version: Version(version), more }
 }
 
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -19,8 +19,10 @@
 //!
 //! What is free at an endpoint is free for every node that can see it. At each
 //! digest, a node is therefore dealt a part of the free slots that follows its
-//! part of the demand, and takes no more of them until the next one; a slot
-//! that its own request leaves is its own again. Where calls are short, a slot
+//! part of the demand, and takes no more of them until the next one. A slot
+//! that its own request leaves is its own again, unless the node holds more
+//! than its part of all slots of the service: a node that comes late, or whose
+//! callers become more, would otherwise find every slot taken for good. Where calls are short, a slot
 //! comes free many times between two digests, and is dealt as often.
 //!
 //! Invariants:
@@ -28,6 +30,7 @@
 //! * an endpoint is never given more requests than it has slots, peers'
 //!   requests included, as far as this node knows.
 
+use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
@@ -49,6 +52,9 @@
 /// Growth of the expected time from an empty to a full endpoint, in ms; the growth of a step by a
 /// full batch over some ten events, which spreads light load.
 const CROWD_MS: f64 = 30.0;
+/// Expected time added for each token of the longest answer on an endpoint that is twice as slow
+/// as usual, in ms: long streams are more likely to have a pause beyond their target.
+const OUTPUT_MS: f64 = 0.02;
 /// Expected time added for an endpoint that fails every request, in ms: a second attempt after a
 /// silence.
 const FAILURE_MS: f64 = 1_500.0;
@@ -65,6 +71,8 @@
 const PAUSE_STEP: f64 = 0.02;
 /// Weight of a new hold in the usual hold; settles within some twenty calls.
 const HOLD_WEIGHT: f64 = 0.1;
+/// Weight of a new part of the demand in the usual part; settles within some ten digests.
+const PART_WEIGHT: f64 = 0.15;
 /// Times that a slot is dealt between two digests, at most; calls are not shorter than 5 ms.
 const TURNS_MOST: f64 = 20.0;
 /// Most events that one pause is divided by; more come together only after a standstill.
@@ -83,8 +91,10 @@
 const DOWN_MIN: Duration = Duration::from_millis(250);
 /// Longest such pause; an endpoint is back some seconds after a crash.
 const DOWN_MAX: Duration = Duration::from_secs(2);
-/// Time after which what a peer said of its requests is forgotten: over two of the longest
-/// intervals of digests, so that one may be lost.
+/// Pause after another endpoint answered at the address: the entry lapses or changes meanwhile.
+const MISPLACED: Duration = Duration::from_secs(3);
+/// Time after which what a peer said of its requests is forgotten, unless another one is set: over
+/// two of the usual intervals of digests, so that one may be lost.
 const SHARE_TTL: Duration = Duration::from_secs(3);
 
 /// Where an endpoint stands, seen from this node.
@@ -110,7 +120,7 @@
 }
 
 /// Endpoint as the directory lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// Endpoint.
     pub id: EndpointId,
@@ -155,6 +165,8 @@
 pub struct Demand {
     /// Prompt length.
     pub prompt: Tokens,
+    /// Longest answer, as far as it is known.
+    pub output: Tokens,
 }
 
 /// Request in search of an endpoint.
@@ -196,6 +208,8 @@
     Failed,
     /// The endpoint had no room and did not run it.
     Full,
+    /// Another endpoint is at the address, and did not run it.
+    Misplaced,
     /// No connection could be made.
     Unreachable,
     /// Ended by this node or its caller.
@@ -245,8 +259,8 @@
         if self.listing.slots == 0 { UNKNOWN_SLOTS } else { self.listing.slots }
     }
 
-    fn load(&self, now: Time) -> Share {
-        let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < SHARE_TTL);
+    fn load(&self, ttl: Duration, now: Time) -> Share {
+        let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < ttl);
         fresh.fold(self.own, |sum, (share, _)| Share {
             flights: sum.flights + share.flights,
             unread: Tokens(sum.unread.0 + share.unread.0),
@@ -302,10 +316,35 @@
 }
 
 /// Endpoints of all services, with what this node believes of each.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     usual_ms: HashMap<ServiceId, f64>,
+    share_ttl: Duration,
+    /// Usual part of this node in the demand of all.
+    part: f64,
+    tallies: HashMap<ServiceId, Tally>,
+}
+
+/// Slots of a service.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    /// All of them, at the last deal.
+    slots: u32,
+    /// Those that this node holds.
+    own: u32,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            endpoints: BTreeMap::new(),
+            usual_ms: HashMap::new(),
+            share_ttl: SHARE_TTL,
+            part: 1.0,
+            tallies: HashMap::new(),
+        }
+    }
 }
 
 impl Fleet {
@@ -315,6 +354,11 @@
         Self::default()
     }
 
+    /// States the time after which what a peer said of its requests is forgotten.
+    pub fn set_share_ttl(&mut self, ttl: Duration) {
+        self.share_ttl = ttl.max(SHARE_TTL);
+    }
+
     /// Takes over a listing; true when it changes what is believed.
     pub fn list(&mut self, listing: Listing, distance: Distance, now: Time) -> bool {
         let changed = self.take_over(listing.clone(), distance);
@@ -358,20 +402,6 @@
         self.endpoints.keys()
     }
 
-    /// Hash of all listings, the same wherever the same endpoints are known.
-    #[must_use]
-    pub fn fingerprint(&self) -> u64 {
-        let one = |endpoint: &Endpoint| {
-            let listing = &endpoint.listing;
-            let text = format!(
-                "{} {} {} {:?}",
-                listing.service, listing.address, listing.leaving, listing.born
-            );
-            units::score(listing.id.as_str(), &text)
-        };
-        self.endpoints.values().map(one).fold(0, |sum, hash| sum ^ hash)
-    }
-
     /// Address of an endpoint.
     #[must_use]
     pub fn address(&self, id: &EndpointId) -> Option<SocketAddr> {
@@ -393,7 +423,8 @@
                 continue;
             }
             room.slots += endpoint.slots();
-            room.free += endpoint.slots().saturating_sub(endpoint.load(now).flights);
+            room.free +=
+                endpoint.slots().saturating_sub(endpoint.load(self.share_ttl, now).flights);
         }
         room
     }
@@ -416,7 +447,7 @@
             endpoint: endpoint.listing.id.clone(),
             address: endpoint.listing.address,
             expected: Duration::from_secs_f64(cost / 1_000.0),
-            flights: endpoint.load(now).flights,
+            flights: endpoint.load(self.share_ttl, now).flights,
             candidates,
         })
     }
@@ -426,7 +457,7 @@
         if listing.service != *ask.service || listing.leaving || now < endpoint.down_until {
             return false;
         }
-        let load = endpoint.load(now);
+        let load = endpoint.load(self.share_ttl, now);
         if load.flights >= endpoint.slots()
             || endpoint.dealt == 0
             || endpoint.own.flights >= ask.connections
@@ -464,13 +495,15 @@
     }
 
     fn cost(&self, endpoint: &Endpoint, ask: &Ask<'_>, now: Time) -> f64 {
-        let load = endpoint.load(now);
+        let load = endpoint.load(self.share_ttl, now);
         let slowness = self.slowness(endpoint) * endpoint.pace(now);
         let prompt = tokens(ask.demand.prompt);
         let reading = (tokens(load.unread) + prompt) * TOKEN_MS;
         let crowd = CROWD_MS * f64::from(load.flights) / f64::from(endpoint.slots());
+        let generating = (self.slowness(endpoint) - 1.0).max(0.0) * tokens(ask.demand.output);
         endpoint.distance.ms()
             + slowness * (BASE_MS + reading + crowd)
+            + generating * OUTPUT_MS
             + FAILURE_MS * endpoint.failure_rate(now)
     }
 
@@ -478,6 +511,7 @@
     pub fn begin(&mut self, id: &EndpointId, demand: Demand) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.own.flights += 1;
+            self.tallies.entry(endpoint.listing.service.clone()).or_default().own += 1;
             endpoint.dealt = endpoint.dealt.saturating_sub(1);
             endpoint.own.unread.0 += demand.prompt.0;
         }
@@ -531,16 +565,33 @@
         }
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         endpoint.own.flights = endpoint.own.flights.saturating_sub(1);
-        endpoint.dealt += 1;
+        let tally = self.tallies.entry(endpoint.listing.service.clone()).or_default();
+        tally.own = tally.own.saturating_sub(1);
+        // One slot beyond the part keeps slots from changing hands on every small change.
+        if f64::from(tally.own) <= self.part * f64::from(tally.slots) {
+            endpoint.dealt += 1;
+        }
         match outcome {
             Outcome::Whole => endpoint.note(false, now),
             Outcome::Failed => endpoint.note(true, now),
             Outcome::Full => endpoint.down_until = now + DOWN_MIN / 5,
+            Outcome::Misplaced => endpoint.down_until = now + MISPLACED,
             Outcome::Unreachable => endpoint.back_off(now),
             Outcome::Dropped => {}
         }
     }
 
+    /// Counts the slots of all services. Requests of endpoints that are gone have ended or will,
+    /// and are left out.
+    fn count(&mut self) {
+        self.tallies.clear();
+        for endpoint in self.endpoints.values() {
+            let tally = self.tallies.entry(endpoint.listing.service.clone()).or_default();
+            tally.slots += if endpoint.listing.leaving { 0 } else { endpoint.slots() };
+            tally.own += endpoint.own.flights;
+        }
+    }
+
     /// Deals this node its part of the free slots of every endpoint.
     ///
     /// `part` gives the part by distance, `interval` the time to the next deal; `draw` gives numbers
@@ -553,8 +604,10 @@
         now: Time,
     ) {
         self.learn_usual();
+        self.part += PART_WEIGHT * (part(Distance::Far).clamp(0.0, 1.0) - self.part);
+        self.count();
         for endpoint in self.endpoints.values_mut() {
-            let free = endpoint.slots().saturating_sub(endpoint.load(now).flights);
+            let free = endpoint.slots().saturating_sub(endpoint.load(self.share_ttl, now).flights);
             let turns = endpoint.turns(interval);
             let dealt = f64::from(free) * turns * part(endpoint.distance).clamp(0.0, 1.0);
             #[allow(
--- a/crates/sched/src/quota.rs
+++ b/crates/sched/src/quota.rs
@@ -55,6 +55,8 @@
     recent: Recent,
     /// When the first request came; what peers admitted before is not known.
     since: Time,
+    /// When its totals changed last.
+    changed: Time,
     heard: HashMap<InstanceId, Heard>,
 }
 
@@ -176,6 +178,7 @@
         let bucket = self.bucket(organisation, allotment, now);
         bucket.refill(allotment, share, now);
         bucket.asked += cost.0;
+        bucket.changed = now;
         bucket.recent = bucket.recent.plus(cost.0, now);
         // A request larger than the burst passes when the bucket is full.
         let needed = float(cost).min(float(allotment.burst));
@@ -196,11 +199,12 @@
     }
 
     /// Gives back what a request took that was not run.
-    pub fn refund(&mut self, organisation: &OrganisationId, cost: Tokens) {
+    pub fn refund(&mut self, organisation: &OrganisationId, cost: Tokens, now: Time) {
         if let Some(bucket) = self.buckets.get_mut(organisation) {
             bucket.level += float(cost);
             bucket.own += float(cost);
             bucket.spent = bucket.spent.saturating_sub(cost.0);
+            bucket.changed = now;
         }
     }
 
@@ -252,9 +256,11 @@
         }
     }
 
-    /// Tokens admitted and asked for at this node since its start, less what it gave back.
-    pub fn totals(&self) -> impl Iterator<Item = (&OrganisationId, u64, u64)> {
-        self.buckets.iter().map(|(id, bucket)| (id, bucket.spent, bucket.asked))
+    /// Tokens admitted and asked for at this node since its start, less what it gave back, of the
+    /// organisations for which that has changed after a moment.
+    pub fn totals(&self, after: Time) -> impl Iterator<Item = (&OrganisationId, u64, u64)> {
+        let changed = self.buckets.iter().filter(move |(_, bucket)| bucket.changed > after);
+        changed.map(|(id, bucket)| (id, bucket.spent, bucket.asked))
     }
 
     fn bucket(
@@ -273,6 +279,7 @@
             asked: 0,
             recent: Recent::default(),
             since: now,
+            changed: Time::ZERO,
             heard: HashMap::new(),
         })
     }
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Placement by several nodes, and beside long prompts.
 
-#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+#![allow(clippy::unwrap_used, clippy::cast_precision_loss, reason = "helpers of tests")]
 
 use rand_pcg::{Pcg64, rand_core::SeedableRng};
 use sched::fleet::{Ask, Demand, Distance, Fleet, Gauge, Listing, Outcome, Share};
@@ -42,7 +42,7 @@
 fn ask<'a>(service: &'a ServiceId, prompt: u64) -> Ask<'a> {
     Ask {
         service,
-        demand: Demand { prompt: Tokens(prompt) },
+        demand: Demand { prompt: Tokens(prompt), output: Tokens(0) },
         avoid: &[],
         connections: u32::MAX,
         pause: Some(Duration::from_millis(300)),
@@ -60,7 +60,7 @@
     while placed.len() < most
         && let Some(choice) = fleet.pick(&ask(&service, prompt), Time::ZERO)
     {
-        fleet.begin(&choice.endpoint, Demand { prompt: Tokens(prompt) });
+        fleet.begin(&choice.endpoint, Demand { prompt: Tokens(prompt), output: Tokens(0) });
         placed.push(choice.endpoint);
     }
     placed
@@ -105,7 +105,7 @@
     deal_all(&mut fleet);
     let placed = fill(&mut fleet, 0, 100);
     assert_eq!(placed.len(), SLOTS as usize);
-    let demand = Demand { prompt: Tokens(0) };
+    let demand = Demand { prompt: Tokens(0), output: Tokens(0) };
     fleet.end(&id(0), demand, true, Outcome::Whole, Time::ZERO);
     assert_eq!(fill(&mut fleet, 0, 100).len(), 1);
 }
@@ -178,7 +178,7 @@
     let mut fleet = fleet(2);
     deal_all(&mut fleet);
     for _ in 0..10 {
-        let demand = Demand { prompt: Tokens(0) };
+        let demand = Demand { prompt: Tokens(0), output: Tokens(0) };
         fleet.begin(&id(0), demand);
         fleet.end(&id(0), demand, true, Outcome::Failed, Time::ZERO);
     }
@@ -195,7 +195,7 @@
     fleet.gauge(&id(0), gauge, Time::ZERO);
     deal_all(&mut fleet);
     // A request beside it makes the other endpoint the second choice at an equal pace.
-    fleet.begin(&id(1), Demand { prompt: Tokens(0) });
+    fleet.begin(&id(1), Demand { prompt: Tokens(0), output: Tokens(0) });
     let at = |ms| fleet.pick(&ask(&service, 5_000), Time::from_millis(ms)).unwrap().endpoint;
     assert_eq!(at(0), id(1));
     assert_eq!(at(10_000), id(0));
@@ -205,7 +205,7 @@
 fn new_lifetime_forgets_what_was_learned() {
     let service = service();
     let mut fleet = fleet(1);
-    let demand = Demand { prompt: Tokens(0) };
+    let demand = Demand { prompt: Tokens(0), output: Tokens(0) };
     fleet.begin(&id(0), demand);
     fleet.end(&id(0), demand, false, Outcome::Unreachable, Time::ZERO);
     deal_all(&mut fleet);
@@ -229,10 +229,81 @@
             short += 1;
             continue;
         };
-        let demand = Demand { prompt: Tokens(0) };
+        let demand = Demand { prompt: Tokens(0), output: Tokens(0) };
         fleet.begin(&choice.endpoint, demand);
         fleet.hold(&choice.endpoint, Duration::from_millis(20));
         fleet.end(&choice.endpoint, demand, true, Outcome::Whole, now);
     }
     assert!(short <= 50, "{short} of 1000 waited");
 }
+
+/// Requests of one node in [`saturate`], by their end.
+struct Client {
+    fleet: Fleet,
+    ends: Vec<(Time, EndpointId)>,
+}
+
+/// Nodes that always have a request waiting; the last one comes later. Returns the requests in
+/// flight at each node, summed over the last seconds.
+fn saturate(nodes: u32, endpoints: u32) -> Vec<u64> {
+    const HOLD: Duration = Duration::from_millis(600);
+    const LATE: u64 = 2_000;
+    const END: u64 = 12_000;
+    let mut rng = Pcg64::seed_from_u64(11);
+    let service = service();
+    let demand = Demand { prompt: Tokens(0), output: Tokens(0) };
+    let mut clients: Vec<Client> =
+        (0..nodes).map(|_| Client { fleet: fleet(endpoints), ends: Vec::new() }).collect();
+    let mut sums = vec![0; clients.len()];
+    for ms in (0..END).step_by(5) {
+        let now = Time::from_millis(ms);
+        let alive = clients.len();
+        for number in 0..alive {
+            let begins = if number + 1 == alive { LATE } else { 0 };
+            let client = &mut clients[number];
+            while let Some(at) = client.ends.iter().position(|(end, _)| *end <= now) {
+                let (_, endpoint) = client.ends.swap_remove(at);
+                client.fleet.end(&endpoint, demand, true, Outcome::Whole, now);
+            }
+            // Nodes speak at different moments.
+            if (ms + 20 * number as u64).is_multiple_of(100) {
+                let shares: HashMap<EndpointId, Share> =
+                    client.fleet.shares().map(|(id, share)| (id.clone(), share)).collect();
+                let draw = || rand_pcg::rand_core::RngCore::next_u32(&mut rng).into_unit();
+                client.fleet.deal(|_| 1.0 / alive as f64, Duration::from_millis(100), draw, now);
+                let name = InstanceId::new(&format!("n-{number}")).unwrap();
+                for other in (0..alive).filter(|other| *other != number) {
+                    clients[other].fleet.hear(&name, &shares, now);
+                }
+            }
+            let client = &mut clients[number];
+            while ms >= begins
+                && let Some(choice) = client.fleet.pick(&ask(&service, 0), now)
+            {
+                client.fleet.begin(&choice.endpoint, demand);
+                let jitter = rand_pcg::rand_core::RngCore::next_u32(&mut rng) % 200;
+                let end = now + HOLD + Duration::from_millis(jitter.into());
+                client.ends.push((end, choice.endpoint));
+            }
+            if ms > END / 2 {
+                sums[number] += client.ends.len() as u64;
+            }
+        }
+    }
+    sums
+}
+
+/// All slots are taken by others when a node starts, or comes back, in the middle of a burst.
+#[test]
+fn node_that_comes_late_gets_its_part_of_full_endpoints() {
+    for (nodes, endpoints) in [(3, 2), (5, 2), (12, 6)] {
+        let sums = saturate(nodes, endpoints);
+        let all: u64 = sums.iter().sum();
+        let late = *sums.last().unwrap();
+        let samples = 12_000 / 2 / 5;
+        let slots = u64::from(endpoints * SLOTS) * samples;
+        assert!(late * u64::from(nodes) * 2 >= all, "{nodes} nodes: {sums:?}");
+        assert!(all * 10 >= slots * 9, "{nodes} nodes: {all} of {slots} in use");
+        assert!(all * 10 <= slots * 11, "{nodes} nodes: {all} of {slots} in use");
+    }
+}
--- a/crates/sched/tests/quota.rs
+++ b/crates/sched/tests/quota.rs
@@ -103,7 +103,7 @@
         let slot = ms % INTERVAL_MS;
         let speaker = usize::try_from(slot / 14).unwrap();
         if slot.is_multiple_of(14) && speaker < NODES {
-            let said = nodes[speaker].totals().map(|(_, s, a)| (s, a)).next();
+            let said = nodes[speaker].totals(Time::ZERO).map(|(_, s, a)| (s, a)).next();
             nodes[speaker].deal(now);
             let Some((spent, asked)) = said else { continue };
             for (_, meter) in nodes.iter_mut().enumerate().filter(|(to, _)| *to != speaker) {
