Late requests give way to timely ones at other nodes; slots are given to nodes that miss some; explain

Change: digests tell how many timely requests wait for each service, and how many slots a node has less than three quarters of its part. Late requests are given up while many timely ones wait elsewhere. Slots are given up only while others miss some, and are dealt to those first. `bambooroad explain ID LOGS` goes from a request's id to its cause.

Ruled out: that capacity was left: 600 of 600 slots in use.

Requests that are refused twice are the largest price now.

--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -158,6 +158,8 @@
     InvalidSettings = 5005, 422, Never, 0, "Invalid settings";
     /// The named gateway cannot be reached.
     GatewayUnreachable = 5006, 502, Never, 1, "Gateway unreachable";
+    /// The logs hold no line of a request.
+    NoTrace = 5007, 404, Never, 0, "No trace of the request";
 }
 
 impl Code {
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -5,11 +5,16 @@
 //! [`Flight`] to the task whose turn it is. A flight that is dropped gives its
 //! slot back and lets the next request go.
 
-use crate::{board::Board, caller};
+use crate::{
+    board::Board,
+    caller,
+    digest::{Waiting, tag},
+    roster::Roster,
+};
 use codes::Code;
 use sched::{
     Bid,
-    fleet::{Ask, Choice, Demand, Gauge, Outcome},
+    fleet::{Ask, Choice, Demand, Fleet, Gauge, Outcome},
     line::{Line, Terms},
 };
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
@@ -135,6 +140,26 @@
         waiting + std::mem::take(&mut self.arrivals)
     }
 
+    /// Timely requests that wait, by service.
+    pub fn timely(&self, fleet: &Fleet) -> Box<[Waiting]> {
+        let busy = self.lines.iter().filter(|(_, line)| line.timely() > 0);
+        let waiting = |(service, line): (&ServiceId, &Line)| Waiting {
+            service: tag(service.as_str()),
+            requests: u32::try_from(line.timely()).unwrap_or(u32::MAX),
+            missing: fleet.missing(service),
+        };
+        busy.map(waiting).collect()
+    }
+
+    /// Takes over what waits at other nodes.
+    pub fn look_elsewhere(&mut self, roster: &Roster, fleet: &mut Fleet, now: Time) {
+        for (service, line) in &mut self.lines {
+            let elsewhere = roster.waiting(service, now);
+            line.set_elsewhere(elsewhere.requests, fleet.room(service, now).slots);
+            fleet.set_wants(service, line.timely() > 0, elsewhere.missing);
+        }
+    }
+
     fn services(&self) -> Vec<ServiceId> {
         let busy = self.lines.iter().filter(|(_, line)| !line.is_empty());
         busy.map(|(service, _)| service.clone()).collect()
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -9,7 +9,7 @@
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
-use units::{EndpointId, Fingerprint, InstanceId, OrganisationId, Version, ZoneId};
+use units::{Fingerprint, InstanceId, OrganisationId, Version, ZoneId};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Length of a digest's code of authenticity, in bytes.
@@ -38,6 +38,8 @@
     pub returned: bool,
     /// Requests waiting and those that have just arrived.
     pub demand: u32,
+    /// Requests that wait and can still be answered in time.
+    pub waiting: Box<[Waiting]>,
     /// Requests in flight.
     pub loads: Box<[Load]>,
     /// Tokens admitted since the start of the process.
@@ -46,6 +48,17 @@
     pub strikes: Box<[Strike]>,
 }
 
+/// Requests that wait for one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waiting {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Requests.
+    pub requests: u32,
+    /// Slots that the node has less than its part.
+    pub missing: u32,
+}
+
 /// Requests in flight at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -123,9 +136,9 @@
     Ok(code)
 }
 
-/// Short hash of an endpoint's identifier.
+/// Short hash of an identifier.
 #[must_use]
-pub fn tag(endpoint: &EndpointId) -> u32 {
-    let hash = xxh3_64(endpoint.as_str().as_bytes());
+pub fn tag(id: &str) -> u32 {
+    let hash = xxh3_64(id.as_bytes());
     u32::try_from(hash >> 32).unwrap_or_default()
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -156,7 +156,7 @@
     }
     let loads: HashMap<u32, &Load> = digest.loads.iter().map(|l| (l.endpoint, l)).collect();
     let shares = fleet.ids().filter_map(|id| {
-        let load = loads.get(&tag(id))?;
+        let load = loads.get(&tag(id.as_str()))?;
         let share = Share { flights: load.flights, unread: Tokens(load.unread) };
         Some((id.clone(), share))
     });
@@ -225,6 +225,7 @@
     };
     let mut fleet = board.fleet.borrow_mut();
     fleet.set_share_ttl(board.roster.borrow().horizon());
+    board.desk.borrow_mut().look_elsewhere(&board.roster.borrow(), &mut fleet, now);
     fleet.deal(part, interval, rand::random, now);
     drop(fleet);
     desk::pump_all(board);
@@ -244,7 +245,7 @@
     let reads = board.listed.get() && board.roster.borrow().reads(now);
     let fleet = board.fleet.borrow();
     let loads = fleet.shares().map(|(id, share)| Load {
-        endpoint: tag(id),
+        endpoint: tag(id.as_str()),
         flights: share.flights,
         unread: share.unread.0,
     });
@@ -274,6 +275,7 @@
         directory: reads.then(|| board.journal.borrow_mut().excerpt(now)),
         returned: board.store_returned.get().is_some_and(|at| now.since(at) < RETURN),
         demand: board.demand.get(),
+        waiting: board.desk.borrow().timely(&fleet),
         loads: loads.collect(),
         spent: spent.into(),
         strikes: strikes.collect(),
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -3,9 +3,9 @@
 //! A few nodes, found by rendezvous hashing over those that are heard, read
 //! the store for all; see [`crate::watch`].
 
-use crate::digest::Digest;
+use crate::digest::{Digest, Waiting, tag};
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
-use units::{InstanceId, Time, Version, ZoneId};
+use units::{InstanceId, ServiceId, Time, Version, ZoneId};
 
 /// Shortest interval between two digests: a tenth of the time for which a stream holds its slot.
 const INTERVAL_MIN: Duration = Duration::from_millis(100);
@@ -32,6 +32,7 @@
     address: SocketAddr,
     near: bool,
     demand: u32,
+    waiting: Box<[Waiting]>,
     configuration: Version,
     reads: bool,
     returned: bool,
@@ -131,6 +132,7 @@
             address,
             near: false,
             demand: 0,
+            waiting: Box::default(),
             configuration: Version(0),
             reads: false,
             returned: false,
@@ -155,6 +157,7 @@
         peer.heard = Some(now);
         peer.near = digest.zone == *zone;
         peer.demand = digest.demand;
+        peer.waiting.clone_from(&digest.waiting);
         peer.configuration = digest.configuration;
         peer.reads = digest.directory.is_some();
         peer.returned = digest.returned;
@@ -205,6 +208,19 @@
         self.heard_peers(now).filter(|(id, _)| score(id) > mine).count() < READERS
     }
 
+    /// What waits for a service at the other nodes, in sum.
+    #[must_use]
+    pub fn waiting(&self, service: &ServiceId, now: Time) -> Waiting {
+        let service = tag(service.as_str());
+        let peers = self.heard_peers(now).flat_map(|(_, peer)| &peer.waiting);
+        let of = peers.filter(|waiting| waiting.service == service);
+        of.fold(Waiting { service, requests: 0, missing: 0 }, |sum, waiting| Waiting {
+            requests: sum.requests + waiting.requests,
+            missing: sum.missing + waiting.missing,
+            ..sum
+        })
+    }
+
     /// Part of the demand of all nodes that is this node's: in its zone, and in all.
     #[must_use]
     pub fn parts(&self, demand: u32, now: Time) -> Parts {
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -21,6 +21,7 @@
         directory: Some(Excerpt::default()),
         returned: false,
         demand: 10,
+        waiting: Box::default(),
         loads: Box::new([Load { endpoint: 1, flights: 2, unread: 3 }]),
         spent: Box::new([Spent {
             organisation: OrganisationId::new("o").unwrap(),
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -20,9 +20,11 @@
 //! What is free at an endpoint is free for every node that can see it. At each
 //! digest, a node is therefore dealt a part of the free slots that follows its
 //! part of the demand, and takes no more of them until the next one. A slot
-//! that its own request leaves is its own again, unless the node holds more
-//! than its part of all slots of the service: a node that comes late, or whose
-//! callers become more, would otherwise find every slot taken for good. Where calls are short, a slot
+//! that its own request leaves is its own again. A node that comes late, or
+//! comes back, in the middle of a burst would then find every slot taken for
+//! good; so a node with far less than its part says how many slots it misses,
+//! those with more than their part give slots up, and it is dealt them first.
+//! Nobody gives up a slot otherwise, since it stays empty for a moment. Where calls are short, a slot
 //! comes free many times between two digests, and is dealt as often.
 //!
 //! Invariants:
@@ -71,6 +73,10 @@
 const PAUSE_STEP: f64 = 0.02;
 /// Weight of a new hold in the usual hold; settles within some twenty calls.
 const HOLD_WEIGHT: f64 = 0.1;
+/// Part of its fair number of slots below which a node misses some.
+const HUNGRY: f64 = 0.75;
+/// Part of what others miss that is given up between two deals; they hear of it after some.
+const GIVEN: f64 = 0.5;
 /// Weight of a new part of the demand in the usual part; settles within some ten digests.
 const PART_WEIGHT: f64 = 0.15;
 /// Times that a slot is dealt between two digests, at most; calls are not shorter than 5 ms.
@@ -326,13 +332,41 @@
     tallies: HashMap<ServiceId, Tally>,
 }
 
-/// Slots of a service.
+/// Slots of a service, from this node's point of view.
 #[derive(Debug, Clone, Copy, Default)]
 struct Tally {
     /// All of them, at the last deal.
     slots: u32,
     /// Those that this node holds.
     own: u32,
+    /// Those that nobody holds, at the last deal.
+    free: u32,
+    /// Requests wait here.
+    waits: bool,
+    /// Slots that this node misses.
+    missing: u32,
+    /// Slots that other nodes miss.
+    missing_elsewhere: u32,
+    /// Slots that this node gives up until the next deal.
+    to_give: u32,
+}
+
+impl Tally {
+    /// Part of the free slots that goes first to those who miss some.
+    fn reserved(&self) -> f64 {
+        let missing = f64::from(self.missing + self.missing_elsewhere);
+        (missing / f64::from(self.free.max(1))).min(1.0)
+    }
+
+    /// Part of the free slots that this node is dealt, `part` being its part of the demand.
+    fn dealt_part(&self, part: f64) -> f64 {
+        let reserved = self.reserved();
+        if reserved <= 0.0 {
+            return part;
+        }
+        let missing = f64::from(self.missing + self.missing_elsewhere);
+        part * (1.0 - reserved) + reserved * f64::from(self.missing) / missing
+    }
 }
 
 impl Default for Fleet {
@@ -567,8 +601,9 @@
         endpoint.own.flights = endpoint.own.flights.saturating_sub(1);
         let tally = self.tallies.entry(endpoint.listing.service.clone()).or_default();
         tally.own = tally.own.saturating_sub(1);
-        // One slot beyond the part keeps slots from changing hands on every small change.
-        if f64::from(tally.own) <= self.part * f64::from(tally.slots) {
+        if tally.to_give > 0 {
+            tally.to_give -= 1;
+        } else {
             endpoint.dealt += 1;
         }
         match outcome {
@@ -581,14 +616,51 @@
         }
     }
 
+    /// States whether requests wait here for a service, and how many slots other nodes miss.
+    pub fn set_wants(&mut self, service: &ServiceId, waits: bool, missing_elsewhere: u32) {
+        let tally = self.tallies.entry(service.clone()).or_default();
+        tally.waits = waits;
+        tally.missing_elsewhere = missing_elsewhere;
+    }
+
+    /// Slots of a service that this node misses.
+    #[must_use]
+    pub fn missing(&self, service: &ServiceId) -> u32 {
+        self.tallies.get(service).map_or(0, |tally| tally.missing)
+    }
+
     /// Counts the slots of all services. Requests of endpoints that are gone have ended or will,
     /// and are left out.
-    fn count(&mut self) {
-        self.tallies.clear();
+    fn count(&mut self, now: Time) {
+        for tally in self.tallies.values_mut() {
+            (tally.slots, tally.own, tally.free) = (0, 0, 0);
+        }
         for endpoint in self.endpoints.values() {
             let tally = self.tallies.entry(endpoint.listing.service.clone()).or_default();
-            tally.slots += if endpoint.listing.leaving { 0 } else { endpoint.slots() };
             tally.own += endpoint.own.flights;
+            if !endpoint.listing.leaving {
+                let taken = endpoint.load(self.share_ttl, now).flights;
+                tally.slots += endpoint.slots();
+                tally.free += endpoint.slots().saturating_sub(taken);
+            }
+        }
+    }
+
+    /// Decides for each service what this node misses and what it gives up.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "parts of slot counts"
+    )]
+    fn settle(&mut self, mut draw: impl FnMut() -> f64) {
+        for tally in self.tallies.values_mut() {
+            let fair = self.part * f64::from(tally.slots);
+            let own = f64::from(tally.own);
+            let missing = if tally.waits { (HUNGRY * fair - own).max(0.0) } else { 0.0 };
+            tally.missing = missing as u32;
+            let given = GIVEN * f64::from(tally.missing_elsewhere) * own / f64::from(tally.slots);
+            let given = if own > fair { (given + draw()).floor() } else { 0.0 };
+            tally.to_give = given as u32;
         }
     }
 
@@ -605,11 +677,14 @@
     ) {
         self.learn_usual();
         self.part += PART_WEIGHT * (part(Distance::Far).clamp(0.0, 1.0) - self.part);
-        self.count();
+        self.count(now);
+        self.settle(&mut draw);
         for endpoint in self.endpoints.values_mut() {
             let free = endpoint.slots().saturating_sub(endpoint.load(self.share_ttl, now).flights);
             let turns = endpoint.turns(interval);
-            let dealt = f64::from(free) * turns * part(endpoint.distance).clamp(0.0, 1.0);
+            let part = part(endpoint.distance).clamp(0.0, 1.0);
+            let tally = self.tallies.get(&endpoint.listing.service).copied().unwrap_or_default();
+            let dealt = f64::from(free) * turns * tally.dealt_part(part);
             #[allow(
                 clippy::cast_possible_truncation,
                 clippy::cast_sign_loss,
--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -5,9 +5,13 @@
 //! cannot, whatever their tiers: serving the late ones first would make the
 //! timely ones late as well, and the whole burst with them. Within each of
 //! the two groups the order is by tier, fair turn and deadline
-//! ([`crate::fair`]). Late requests are served from what is left and given up
-//! only when their answer could not be whole before their deadline.
-
+//! ([`crate::fair`]). Late requests are served from what is left, and given up
+//! when their answer could not be whole before their deadline.
+//!
+//! What is left is known only over all nodes: a node without a timely request
+//! would spend a slot on a late one while a timely one waits elsewhere. While
+//! that is so ([`Line::yields`]), late requests are given up at once, and the
+//! slot is left to the others.
 //!
 //! A caller that hears nothing for a while leaves, and a request that was
 //! given up while it waited has cost its caller that time. So the line states
@@ -26,6 +30,11 @@
 /// Part of the pace that a tier may count on while higher tiers take all of it: bursts end. The
 /// replay in `tests/line.rs` holds for 0 to 0.3.
 const HOPE: f64 = 0.3;
+/// Timely requests that wait at other nodes, as a part of all slots, from which on late ones give
+/// way: what one step of dealing gives out.
+const YIELD: f64 = 0.05;
+/// Least wait that is told while late requests give way: such bursts last for some seconds.
+const PRESSURE: Duration = Duration::from_secs(2);
 /// Wait that is never taken for too long, so that a pace measured in calm does not turn away the
 /// beginning of a burst.
 const LEAST_WAIT: Duration = Duration::from_millis(150);
@@ -73,6 +82,7 @@
     terms: HashMap<RequestId, Terms>,
     arrived: [Pace; TIERS],
     served: Pace,
+    yields: bool,
 }
 
 #[allow(clippy::cast_precision_loss, reason = "work is far below 2^52")]
@@ -116,8 +126,13 @@
     /// Ahead of it are the requests of its own and higher tiers; it is served by what the pace of
     /// the line leaves beside the arrivals of higher tiers.
     #[must_use]
-    #[allow(clippy::cast_precision_loss, reason = "work is far below 2^52")]
     pub fn expected_wait(&self, rank: Rank, now: Time) -> Duration {
+        let least = if self.yields { PRESSURE } else { Duration::ZERO };
+        self.wait_behind(rank, now).max(least)
+    }
+
+    #[allow(clippy::cast_precision_loss, reason = "work is far below 2^52")]
+    fn wait_behind(&self, rank: Rank, now: Time) -> Duration {
         let ahead = (self.timely.work_to(rank).0 + self.late.work_to(rank).0) as f64;
         if ahead <= 0.0 {
             return Duration::ZERO;
@@ -136,9 +151,10 @@
     /// Whether a new request would wait for longer than its terms allow; the expected wait if so.
     #[must_use]
     pub fn overlong(&self, rank: Rank, terms: Terms, now: Time) -> Option<Duration> {
-        let wait = self.expected_wait(rank, now);
-        let allowed = terms.latest.since(now).max(LEAST_WAIT);
-        (wait > allowed).then_some(wait)
+        let wait = self.wait_behind(rank, now);
+        let end = if self.yields { terms.timely } else { terms.latest };
+        let allowed = end.since(now).max(LEAST_WAIT);
+        (wait > allowed).then(|| self.expected_wait(rank, now))
     }
 
     /// Adds a request.
@@ -155,13 +171,25 @@
         self.terms.insert(request, terms);
     }
 
+    /// Notes the timely requests that wait at other nodes, and all slots of the service.
+    pub fn set_elsewhere(&mut self, waiting: u32, slots: u32) {
+        self.yields = f64::from(waiting) > YIELD * f64::from(slots);
+    }
+
+    /// Whether late requests give way to timely ones at other nodes.
+    #[must_use]
+    pub const fn yields(&self) -> bool {
+        self.yields
+    }
+
     /// Takes out the first request that `place` finds an endpoint for.
     pub fn next<T>(
         &mut self,
         now: Time,
         mut place: impl FnMut(&Bid) -> Option<T>,
     ) -> Option<(Bid, T)> {
-        for queue in [&mut self.timely, &mut self.late] {
+        let queues = [Some(&mut self.timely), Some(&mut self.late).filter(|_| !self.yields)];
+        for queue in queues.into_iter().flatten() {
             let found = queue.heads().find_map(|bid| place(bid).map(|at| (bid.request, at)));
             if let Some((request, at)) = found {
                 self.terms.remove(&request);
@@ -190,8 +218,16 @@
         }
     }
 
-    /// Takes out the requests whose callers would not wait for the answer any more.
+    /// Takes out the requests whose callers would not wait for the answer any more, and all late
+    /// ones while they give way.
     pub fn expire(&mut self, now: Time) -> Vec<Bid> {
+        if self.yields {
+            let given_up = self.late.reject(|_| false);
+            for bid in &given_up {
+                self.terms.remove(&bid.request);
+            }
+            return given_up;
+        }
         let expired = self.late.expired(now);
         expired.into_iter().filter_map(|request| self.remove(request)).collect()
     }
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -241,6 +241,7 @@
 struct Client {
     fleet: Fleet,
     ends: Vec<(Time, EndpointId)>,
+    missing: u32,
 }
 
 /// Nodes that always have a request waiting; the last one comes later. Returns the requests in
@@ -252,14 +253,16 @@
     let mut rng = Pcg64::seed_from_u64(11);
     let service = service();
     let demand = Demand { prompt: Tokens(0), output: Tokens(0) };
-    let mut clients: Vec<Client> =
-        (0..nodes).map(|_| Client { fleet: fleet(endpoints), ends: Vec::new() }).collect();
+    let mut clients: Vec<Client> = (0..nodes)
+        .map(|_| Client { fleet: fleet(endpoints), ends: Vec::new(), missing: 0 })
+        .collect();
     let mut sums = vec![0; clients.len()];
     for ms in (0..END).step_by(5) {
         let now = Time::from_millis(ms);
         let alive = clients.len();
         for number in 0..alive {
             let begins = if number + 1 == alive { LATE } else { 0 };
+            let all_missing: u32 = clients.iter().map(|client| client.missing).sum();
             let client = &mut clients[number];
             while let Some(at) = client.ends.iter().position(|(end, _)| *end <= now) {
                 let (_, endpoint) = client.ends.swap_remove(at);
@@ -270,7 +273,9 @@
                 let shares: HashMap<EndpointId, Share> =
                     client.fleet.shares().map(|(id, share)| (id.clone(), share)).collect();
                 let draw = || rand_pcg::rand_core::RngCore::next_u32(&mut rng).into_unit();
+                client.fleet.set_wants(&service, ms >= begins, all_missing - client.missing);
                 client.fleet.deal(|_| 1.0 / alive as f64, Duration::from_millis(100), draw, now);
+                client.missing = client.fleet.missing(&service);
                 let name = InstanceId::new(&format!("n-{number}")).unwrap();
                 for other in (0..alive).filter(|other| *other != number) {
                     clients[other].fleet.hear(&name, &shares, now);
--- a/crates/sched/tests/line.rs
+++ b/crates/sched/tests/line.rs
@@ -116,3 +116,81 @@
     assert_eq!(after.turned_away[0], 0);
     assert!(after.served[0] >= 390, "{} of 400", after.served[0]);
 }
+
+#[test]
+fn late_request_gives_way_while_timely_ones_wait_elsewhere() {
+    let mut line = Line::new();
+    line.push(bid(1, 0), terms(Time::ZERO, 100, 2_000), Time::ZERO);
+    let later = Time::from_millis(150);
+    line.demote(later);
+    line.set_elsewhere(31, 600);
+    assert!(line.next(later, |_| Some(())).is_none());
+    assert_eq!(line.expire(later).len(), 1);
+    assert!(line.is_empty());
+    line.push(bid(2, 0), terms(Time::ZERO, 100, 2_000), later);
+    line.set_elsewhere(30, 600);
+    assert!(line.next(later, |_| Some(())).is_some(), "few wait, late ones are served");
+}
+
+/// Requests in time and late, of a burst of twice the capacity at sixteen nodes that hear of each
+/// other every 200 ms. A slot that comes free is some node's; what the node leaves goes to another.
+fn spread_burst(giving_way: bool) -> (u32, u32) {
+    use rand_pcg::{
+        Pcg64,
+        rand_core::{RngCore, SeedableRng},
+    };
+    const NODES: u32 = 16;
+    const SLOTS: u32 = 160;
+    let mut rng = Pcg64::seed_from_u64(5);
+    let mut lines: Vec<Line> = (0..NODES).map(|_| Line::new()).collect();
+    let (mut timely, mut late) = (0, 0);
+    let mut free = 0;
+    for ms in 0..6_000_u32 {
+        let now = Time::from_millis(ms.into());
+        // Two arrivals for each slot that comes free; clients are spread unevenly.
+        for number in 0..2 {
+            let node = (rng.next_u32() % NODES).min(rng.next_u32() % NODES) as usize;
+            // Higher tiers come in waves and overtake those that wait.
+            let rank = u8::from(ms / 500 % 2 == 1 || rng.next_u32().is_multiple_of(4));
+            let bid = bid(u128::from(ms * 2 + number), rank);
+            let terms = terms(now, 400, 2_000);
+            lines[node].arrive(&bid, now);
+            if lines[node].overlong(bid.rank, terms, now).is_none() {
+                lines[node].push(bid, terms, now);
+            }
+        }
+        free += 1;
+        if giving_way && ms % 200 == 0 {
+            let waiting: Vec<u32> =
+                lines.iter().map(|line| u32::try_from(line.timely()).unwrap()).collect();
+            let all: u32 = waiting.iter().sum();
+            for (line, own) in lines.iter_mut().zip(&waiting) {
+                line.set_elsewhere(all - own, SLOTS);
+            }
+        }
+        for line in &mut lines {
+            line.demote(now);
+            line.expire(now);
+        }
+        let node = (rng.next_u32() % NODES) as usize;
+        let had = lines[node].timely();
+        if free > 0 && lines[node].next(now, |_| Some(())).is_some() {
+            free -= 1;
+            if lines[node].timely() < had {
+                timely += 1;
+            } else {
+                late += 1;
+            }
+        }
+    }
+    (timely, late)
+}
+
+#[test]
+fn slots_go_to_timely_requests_of_any_node() {
+    let before = spread_burst(false);
+    let after = spread_burst(true);
+    assert!(before.1 > 0, "the burst makes nobody late: {before:?}");
+    assert!(after.0 > before.0, "timely, late: {before:?}, then {after:?}");
+    assert_eq!(after.1, 0, "late ones were served while timely ones waited");
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 //! usage or an invalid service file; 3 in doubt, to be looked at with `log`.
 
 mod check;
+mod explain;
 mod gateways;
 mod keygen;
 mod output;
@@ -31,6 +32,7 @@
     Log(publish::LogOptions),
     Status(gateways::StatusOptions),
     Drain(gateways::DrainOptions),
+    Explain(explain::Options),
     Keygen(keygen::Options),
 }
 
@@ -44,6 +46,7 @@
         Command::Log(options) => publish::log(&options, &output).await,
         Command::Status(options) => gateways::status(&options, &output).await,
         Command::Drain(options) => gateways::drain(&options, &output).await,
+        Command::Explain(options) => explain::run(&options, &output),
         Command::Keygen(options) => keygen::run(&options, &output),
     };
     match result {
