--- a/crates/fake-host/src/store.rs
+++ b/crates/fake-host/src/store.rs
@@ -84,6 +84,13 @@
         self.set(table, key, None);
     }
 
+    /// Whether there is a row.
+    #[must_use]
+    pub fn holds(&self, table: &str, key: &str) -> bool {
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        self.state.lock().rows.get(&key).is_some_and(|row| row.value.is_some())
+    }
+
     fn set(&self, table: &str, key: &str, value: Option<String>) {
         let mut state = self.state.lock();
         state.version += 1;
@@ -231,5 +238,8 @@
         let value = write["value"].as_str().map(str::to_owned);
         state.rows.insert(key(write), Row { value, version });
     }
+    for row in call["delete"].as_array().into_iter().flatten() {
+        state.rows.insert(key(row), Row { value: None, version });
+    }
     (StatusCode::OK, json!({"row_version": version}))
 }
--- /dev/null
+++ b/crates/relay/src/discovery.rs
@@ -0,0 +1,171 @@
+//! Finding the other nodes by their rows in the store.
+//!
+//! Each node keeps one row with the address for digests. A further row holds
+//! the secret with which digests are authenticated: whoever cannot read the
+//! store cannot make a digest that is taken over.
+//!
+//! A node that is gone for good leaves its row behind, and every node that
+//! starts would count on it for a while. So the nodes that follow the store
+//! delete rows whose nodes they have not heard for long. A node that was only
+//! parted finds its own row missing and writes it again.
+
+use crate::{
+    board::Board,
+    watch::{Fault, Row, Store, Table, read_whole},
+};
+use codes::Event;
+use rand::Rng;
+use slog::info;
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use units::{InstanceId, Time, Version};
+
+/// Interval at which the nodes' rows are read; a new node makes itself heard before that.
+const DISCOVERY: Duration = Duration::from_secs(30);
+/// Interval at which they are read while no other node or no secret is known.
+const DISCOVERY_ALONE: Duration = Duration::from_millis(700);
+/// Time without a sign of a node after which its row is deleted: longer than regions are parted,
+/// which takes minutes.
+const ROW_KEPT: Duration = Duration::from_secs(1_800);
+/// Key of the row that holds the secret.
+const SECRET_ROW: &str = "secret";
+/// Prefix of the keys of the nodes' rows.
+const NODE_ROWS: &str = "node/";
+/// Length of the secret, in bytes.
+const SECRET_BYTES: usize = 32;
+
+/// Row of a node that is not heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Silence {
+    version: Version,
+    since: Time,
+}
+
+/// Rows of nodes that are not heard.
+#[derive(Debug, Default)]
+pub struct Absence {
+    silent: BTreeMap<Box<str>, Silence>,
+}
+
+impl Absence {
+    /// No rows.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over the rows as they are now and returns those to delete, by key and version. A row
+    /// that its node has written again counts as a sign of it.
+    pub fn see(
+        &mut self,
+        rows: &[Row],
+        is_heard: impl Fn(&InstanceId) -> bool,
+        now: Time,
+    ) -> Vec<(Box<str>, Version)> {
+        let mut silent = BTreeMap::new();
+        for row in rows {
+            let Some(node) = node(row) else { continue };
+            if is_heard(&node) {
+                continue;
+            }
+            let known = self.silent.get(&row.key).filter(|s| s.version == row.version);
+            let fresh = Silence { version: row.version, since: now };
+            silent.insert(row.key.clone(), known.copied().unwrap_or(fresh));
+        }
+        self.silent = silent;
+        let over = self.silent.iter().filter(|(_, s)| now.since(s.since) >= ROW_KEPT);
+        over.map(|(key, silence)| (key.clone(), silence.version)).collect()
+    }
+}
+
+/// Node whose row it is; none for rows of another kind or form.
+fn node(row: &Row) -> Option<InstanceId> {
+    row.value.as_ref()?;
+    InstanceId::new(row.key.strip_prefix(NODE_ROWS)?).ok()
+}
+
+/// Keeps this node's row and reads those of the others.
+pub async fn run<S: Store>(board: Rc<Board>, store: Rc<S>) {
+    let key = format!("{NODE_ROWS}{}", board.settings.instance);
+    let address = board.settings.listen.peers.to_string();
+    let mut written = false;
+    let mut absence = Absence::new();
+    loop {
+        if !written {
+            match store.write(&key, address.as_bytes(), false).await {
+                Ok(()) => written = true,
+                Err(fault) => note(&board, "node's row not written", &fault),
+            }
+        }
+        match read_whole(&*store, Table::Nodes, Version(0)).await {
+            Ok((rows, _)) => {
+                written &= rows.iter().any(|row| *row.key == *key && row.value.is_some());
+                if let Err(fault) = take_over(&board, &*store, &rows).await {
+                    note(&board, "secret not written", &fault);
+                }
+                delete_absent(&board, &*store, &mut absence, &rows).await;
+                board.introduced.notify_one();
+            }
+            Err(fault) => note(&board, "nodes not read", &fault),
+        }
+        let alone = !written || !board.roster.borrow().is_introduced();
+        tokio::time::sleep(if alone { DISCOVERY_ALONE } else { DISCOVERY }).await;
+    }
+}
+
+fn note(board: &Board, what: &'static str, fault: &Fault) {
+    info!(board.log, "{}", what; Event::StoreDown, "table" => "Nodes", "fault" => %fault);
+}
+
+async fn take_over<S: Store>(board: &Board, store: &S, rows: &[Row]) -> Result<(), Fault> {
+    let now = board.now();
+    let mut secret = None;
+    for row in rows {
+        let Some(value) = &row.value else { continue };
+        if &*row.key == SECRET_ROW {
+            secret = Some(value.clone());
+        } else if let Some(id) = node(row) {
+            meet(board, &id, value, now);
+        }
+    }
+    if let Some(secret) = secret {
+        board.roster.borrow_mut().secret = Some(secret.to_vec().into());
+        return Ok(());
+    }
+    let fresh: [u8; SECRET_BYTES] = rand::rng().random();
+    match store.write(SECRET_ROW, &fresh, true).await {
+        // Another node was first, or the answer was lost: the next round reads what holds.
+        Ok(()) | Err(Fault::Conflict) => Ok(()),
+        Err(fault) => Err(fault),
+    }
+}
+
+fn meet(board: &Board, id: &InstanceId, value: &[u8], now: Time) {
+    let address = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+    let Some(address) = address else {
+        return info!(board.log, "row of a node ignored"; Event::EntryIgnored, "node" => %id);
+    };
+    if *id == board.settings.instance {
+        return;
+    }
+    if board.roster.borrow_mut().meet(id, address, now) {
+        info!(board.log, "node known"; Event::MemberJoined, "node" => %id, "address" => %address);
+    }
+}
+
+async fn delete_absent<S: Store>(board: &Board, store: &S, absence: &mut Absence, rows: &[Row]) {
+    let now = board.now();
+    let is_heard =
+        |id: &InstanceId| *id == board.settings.instance || board.roster.borrow().is_heard(id, now);
+    let over = absence.see(rows, is_heard, now);
+    if !board.roster.borrow().reads(now) {
+        return;
+    }
+    for (key, version) in over {
+        match store.delete(&key, version).await {
+            Ok(()) => info!(board.log, "row of a node deleted"; Event::MemberDead, "row" => &*key),
+            // Another node was first, or the row was written again.
+            Err(Fault::Conflict) => {}
+            Err(fault) => note(board, "row of a node not deleted", &fault),
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod dialect;
 pub mod digest;
 pub mod directory;
+pub mod discovery;
 pub mod events;
 pub mod exchange;
 pub mod history;
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     board::{Board, Phase},
-    desk, peers, serve,
+    desk, discovery, peers, serve,
     watch::{self, Store},
 };
 use anyhow::Result;
@@ -74,7 +74,7 @@
     spawn_local(watch::configuration(Rc::clone(&board), Rc::clone(&store)));
     spawn_local(watch::endpoints(Rc::clone(&board), Rc::clone(&store)));
     let socket = Rc::new(sockets.peers);
-    spawn_local(peers::discover(Rc::clone(&board), Rc::clone(&store)));
+    spawn_local(discovery::run(Rc::clone(&board), Rc::clone(&store)));
     spawn_local(peers::listen(Rc::clone(&board), Rc::clone(&socket)));
     spawn_local(peers::speak(Rc::clone(&board), Rc::clone(&socket)));
     spawn_local(reload(Rc::clone(&board), changed));
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,4 +1,4 @@
-//! Finding the other nodes, speaking with them, and dealing by what they say.
+//! Speaking with the other nodes, and dealing by what they say.
 //!
 //! Load pattern: seven to some hundred nodes fill the same endpoints within
 //! milliseconds of each other. Each node sends a small digest of what it has
@@ -7,20 +7,15 @@
 //! Those in the same availability zone hear each other often, the others less
 //! often: the first compete for the same endpoints, the others only when their
 //! own are full.
-//!
-//! Nodes find each other by their rows in the store. The store also holds the
-//! secret with which datagrams are authenticated: whoever cannot read the
-//! store cannot make a digest that is taken over.
 
 use crate::{
     board::Board,
     desk,
     digest::{Digest, Load, Spent, Strike, tag},
     directory,
-    watch::{self, Fault, RETURN, Store, Table},
+    watch::RETURN,
 };
 use codes::Event;
-use rand::Rng;
 use sched::{
     fleet::{Distance, Share},
     quota::Total,
@@ -28,84 +23,15 @@
 use slog::info;
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::net::UdpSocket;
-use units::{InstanceId, Time, Tokens, Version};
+use units::{Time, Tokens};
 
 /// Longest time without a digest to a node near, a fifth of the time after which it is not heard.
 const IDLE_MOST: Duration = Duration::from_millis(500);
-/// Interval at which the nodes' rows are read; a new node makes itself heard before that.
-const DISCOVERY: Duration = Duration::from_secs(30);
-/// Interval at which they are read while no other node or no secret is known.
-const DISCOVERY_ALONE: Duration = Duration::from_millis(700);
-/// Key of the row that holds the secret.
-const SECRET_ROW: &str = "secret";
-/// Prefix of the keys of the nodes' rows.
-const NODE_ROWS: &str = "node/";
-/// Length of the secret, in bytes.
-const SECRET_BYTES: usize = 32;
 /// Largest datagram that is read; digests of today's sizes take under 1 KB.
 const MAX_DATAGRAM: usize = 8 * 1024;
 /// Strikes that are told along; crashing requests are few at a time.
 const MAX_STRIKES: usize = 16;
 
-/// Keeps this node's row and reads those of the others.
-pub async fn discover<S: Store>(board: Rc<Board>, store: Rc<S>) {
-    let row = format!("{NODE_ROWS}{}", board.settings.instance);
-    let address = board.settings.listen.peers.to_string();
-    let mut written = false;
-    loop {
-        if !written {
-            match store.write(&row, address.as_bytes(), false).await {
-                Ok(()) => written = true,
-                Err(fault) => info!(board.log, "node's row not written"; Event::StoreDown,
-                    "table" => "Nodes", "fault" => %fault),
-            }
-        }
-        match read_rows(&board, &*store).await {
-            Ok(()) => board.introduced.notify_one(),
-            Err(fault) => info!(board.log, "nodes not read"; Event::StoreDown,
-                "table" => "Nodes", "fault" => %fault),
-        }
-        let alone = !written || !board.roster.borrow().is_introduced();
-        tokio::time::sleep(if alone { DISCOVERY_ALONE } else { DISCOVERY }).await;
-    }
-}
-
-async fn read_rows<S: Store>(board: &Board, store: &S) -> Result<(), Fault> {
-    let (rows, _) = watch::read_whole(store, Table::Nodes, Version(0)).await?;
-    let now = board.now();
-    let mut secret = None;
-    for row in &rows {
-        let Some(value) = &row.value else { continue };
-        if &*row.key == SECRET_ROW {
-            secret = Some(value.clone());
-        } else if let Some(name) = row.key.strip_prefix(NODE_ROWS) {
-            meet(board, name, value, now);
-        }
-    }
-    if let Some(secret) = secret {
-        board.roster.borrow_mut().secret = Some(secret.to_vec().into());
-        return Ok(());
-    }
-    let fresh: [u8; SECRET_BYTES] = rand::rng().random();
-    match store.write(SECRET_ROW, &fresh, true).await {
-        // Another node was first, or the answer was lost: the next round reads what holds.
-        Ok(()) | Err(Fault::Conflict) => Ok(()),
-        Err(fault) => Err(fault),
-    }
-}
-
-fn meet(board: &Board, name: &str, value: &[u8], now: Time) {
-    let id = InstanceId::new(name);
-    let address = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
-    let (Ok(id), Some(address)) = (id, address) else { return };
-    if id == board.settings.instance {
-        return;
-    }
-    if board.roster.borrow_mut().meet(&id, address, now) {
-        info!(board.log, "node known"; Event::MemberJoined, "node" => %id, "address" => %address);
-    }
-}
-
 /// Takes over what other nodes say.
 pub async fn listen(board: Rc<Board>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -22,8 +22,9 @@
 const FORGET: Duration = Duration::from_secs(30);
 /// Other nodes up to which all are told as often as those near.
 const SMALL: usize = 16;
-/// Nodes that follow the store for all.
-const READERS: usize = 8;
+/// Nodes that follow the store for all: in four of them at once a failure is rare, and each costs
+/// the store two calls a second.
+const READERS: usize = 4;
 /// Key of the readers' rendezvous.
 const READER_KEY: &str = "store readers";
 
@@ -114,6 +115,12 @@
         self.heard_peers(now).count()
     }
 
+    /// Whether a node is heard.
+    #[must_use]
+    pub fn is_heard(&self, id: &InstanceId, now: Time) -> bool {
+        self.heard_peers(now).any(|(known, _)| known == id)
+    }
+
     /// Part of the nodes counted on that are heard, this one included.
     #[must_use]
     #[allow(clippy::cast_precision_loss, reason = "node counts are small")]
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -122,6 +122,9 @@
         absent: bool,
     ) -> impl Future<Output = Result<(), Fault>>;
 
+    /// Deletes a row of the nodes' table, if it has the version.
+    fn delete(&self, key: &str, version: Version) -> impl Future<Output = Result<(), Fault>>;
+
     /// Decodes the configuration.
     ///
     /// # Errors
--- a/crates/relay/tests/watch.rs
+++ b/crates/relay/tests/watch.rs
@@ -37,6 +37,10 @@
         Ok(())
     }
 
+    async fn delete(&self, _: &str, _: Version) -> Result<(), Fault> {
+        Ok(())
+    }
+
     fn catalog(&self, _: &[u8]) -> Result<Catalog> {
         bail!("not asked for")
     }
