Soak: recovery asks for each kind of request until it was served once

Traced: three endpoints of the model service were left, twelve slots for thirty callers that never pause. All nodes served from all three (their `routed` lines of the last ten seconds) and refused what was too much with 2001 and 2002, which the promises allow.

Change: each node is asked until it has served every kind once, within the same 15 s; nodes are asked side by side, so that one does not use up the time of the next. The store's deleted rows take the version of the page that tells of them, since they have none of their own.

--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -149,11 +149,13 @@
 
 /// Step of a follower.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum News {
-    /// All rows.
-    Whole(Vec<Row>, Version),
-    /// Changed rows.
-    Changes(Vec<Row>),
+pub struct News {
+    /// All rows, or those that have changed.
+    pub rows: Vec<Row>,
+    /// Version of the store that they show.
+    pub version: Version,
+    /// Whether they are all.
+    pub whole: bool,
 }
 
 /// Reads a table whole.
@@ -213,7 +215,11 @@
             let step = match self.position {
                 Position::Following(after) if board.roster.borrow().reads(board.now()) => {
                     let followed = store.follow(self.table, after, self.wait).await;
-                    followed.map(|page| (News::Changes(page.rows), page.version.max(after)))
+                    followed.map(|page| News {
+                        rows: page.rows,
+                        version: page.version.max(after),
+                        whole: false,
+                    })
                 }
                 Position::Following(_) if !self.is_behind(board) => {
                     // Whichever comes first: news, or the time to look at the role again.
@@ -228,13 +234,13 @@
                         tokio::time::sleep(rest).await;
                     }
                     let read = read_whole(store, self.table, least).await;
-                    read.map(|(rows, version)| (News::Whole(rows, version), version))
+                    read.map(|(rows, version)| News { rows, version, whole: true })
                 }
             };
             self.read_at = board.now();
             match step {
-                Ok((news, version)) => {
-                    self.position = Position::Following(version);
+                Ok(news) => {
+                    self.position = Position::Following(news.version);
                     self.note_reached(board);
                     return news;
                 }
@@ -308,7 +314,7 @@
     }
     let mut follower = Follower::new(Table::Configuration, CONFIGURATION_WAIT);
     loop {
-        let (News::Whole(rows, _) | News::Changes(rows)) = follower.next(&board, &*store).await;
+        let News { rows, .. } = follower.next(&board, &*store).await;
         let empty = rows.is_empty();
         for value in rows.into_iter().filter_map(|row| row.value) {
             match store.catalog(&value) {
@@ -394,15 +400,13 @@
 /// versions at which they were seen to be.
 fn take_over<S: Store>(board: &Board, store: &S, news: News) -> Vec<(EndpointId, Version)> {
     let mut missing = Vec::new();
-    let (rows, whole) = match news {
-        News::Whole(rows, version) => (rows, Some(version)),
-        News::Changes(rows) => (rows, None),
-    };
+    let News { rows, version, whole } = news;
     let mut present = BTreeSet::new();
     for row in rows {
         let Ok(id) = EndpointId::new(&row.key) else { continue };
         let Some(value) = row.value else {
-            missing.push((id, row.version));
+            // The store gives a deleted row no version of its own.
+            missing.push((id, version));
             continue;
         };
         match store.listing(&row.key, &value) {
@@ -415,7 +419,7 @@
         }
         present.insert(id);
     }
-    if let Some(version) = whole {
+    if whole {
         let fleet = board.fleet.borrow();
         let absent = fleet.ids().filter(|id| !present.contains(*id));
         missing.extend(absent.map(|id| (id.clone(), version)));
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -133,28 +133,23 @@
         outcome
     }
 
-    /// Whether a node serves every kind of request, as far as its allotment allows.
-    pub async fn is_served_by(&self, node: usize, prefix: Prefix) -> bool {
+    /// Sends one request of each kind to a node and returns the kinds that were not served, as far
+    /// as the node's allotment allows.
+    pub async fn unserved(&self, node: usize, kinds: &[Kind]) -> Vec<Kind> {
         let mut random = Pcg64Mcg::seed_from_u64(self.seed);
-        let kinds = [
-            Kind::Safe,
-            Kind::Once,
-            Kind::Stream,
-            Kind::Resume,
-            Kind::Moving(prefix),
-            Kind::Withdrawn,
-            Kind::Metered,
-        ];
+        let mut unserved = Vec::new();
         for kind in kinds {
-            let Some(mut line) = self.connect(node).await else { return false };
-            let offer = self.offer(kind, &mut random);
-            let status = self.send(&mut line, node, offer, None).await.status();
-            let served = status == Some(200) || (kind == Kind::Metered && status == Some(429));
+            let offer = self.offer(*kind, &mut random);
+            let status = match self.connect(node).await {
+                Some(mut line) => self.send(&mut line, node, offer, None).await.status(),
+                None => None,
+            };
+            let served = status == Some(200) || (*kind == Kind::Metered && status == Some(429));
             if !served {
-                return false;
+                unserved.push(*kind);
             }
         }
-        true
+        unserved
     }
 
     async fn connect(&self, node: usize) -> Option<Line> {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -24,9 +24,11 @@
 use caller::Crowd;
 use check::Breach;
 use plan::{Plan, Size};
+use record::Kind;
 use stage::Stage;
 use std::{
     path::Path,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -72,7 +74,13 @@
         stage.act(step.action).await?;
     }
     stage.heal().await?;
-    let unrecovered = await_recovery(&crowd, &stage, size.nodes).await;
+    let kinds = Kind::all(stage.prefix());
+    let recovering = (0..size.nodes).map(|node| tokio::spawn(recover(crowd.clone(), node, kinds)));
+    let recovering: Vec<_> = recovering.collect();
+    let mut unrecovered = Vec::new();
+    for node in recovering {
+        unrecovered.extend(node.await?);
+    }
     crowd.stop();
     for caller in callers {
         caller.await?;
@@ -93,21 +101,19 @@
     })
 }
 
-/// Nodes that do not serve everything in time.
-async fn await_recovery(crowd: &Crowd, stage: &Stage, nodes: usize) -> Vec<Box<str>> {
+/// Asks a node for each kind of request until it has served it once; what it did not serve in time.
+/// Callers go on beside, so single refusals are no sign.
+async fn recover(crowd: Arc<Crowd>, node: usize, kinds: [Kind; 7]) -> Option<Box<str>> {
     let until = Instant::now() + RECOVERY;
-    let mut missing = Vec::new();
-    for node in 0..nodes {
-        loop {
-            if crowd.is_served_by(node, stage.prefix()).await {
-                break;
-            }
-            if Instant::now() >= until {
-                missing.push(format!("n-{node}").into());
-                break;
-            }
-            tokio::time::sleep(LOOK).await;
+    let mut unserved = kinds.to_vec();
+    loop {
+        unserved = crowd.unserved(node, &unserved).await;
+        if unserved.is_empty() {
+            return None;
+        }
+        if Instant::now() >= until {
+            return Some(format!("n-{node}: {unserved:?}").into());
         }
+        tokio::time::sleep(LOOK).await;
     }
-    missing
 }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -25,6 +25,20 @@
 }
 
 impl Kind {
+    /// Every kind, while the route that moves has a prefix.
+    #[must_use]
+    pub const fn all(prefix: Prefix) -> [Self; 7] {
+        [
+            Self::Safe,
+            Self::Once,
+            Self::Stream,
+            Self::Resume,
+            Self::Moving(prefix),
+            Self::Withdrawn,
+            Self::Metered,
+        ]
+    }
+
     /// Whether a request may run more than once.
     #[must_use]
     pub const fn is_repeatable(self) -> bool {
@@ -205,7 +219,7 @@
     pub leavings: Vec<Leaving>,
     /// Nodes that ended by themselves or wrote of a panic.
     pub broken_nodes: Vec<Box<str>>,
-    /// Nodes that did not serve every kind of request once the trouble was over.
+    /// Nodes and the kinds of request that they did not serve once the trouble was over.
     pub unrecovered: Vec<Box<str>>,
 }
 
