--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -156,7 +156,10 @@
     pub fn accept(&mut self, digest: &Digest, from: SocketAddr, zone: &ZoneId, now: Time) -> bool {
         self.meet(&digest.from, from, now);
         let Some(peer) = self.peers.get_mut(&digest.from) else { return false };
-        if (digest.lifetime, digest.number) <= (peer.lifetime, peer.number) {
+        // After a silence, a smaller lifetime is a new one under a clock that was set back.
+        let silent = peer.heard.is_some_and(|at| now.since(at) > HEARD * 2);
+        let set_back = silent && digest.lifetime < peer.lifetime;
+        if (digest.lifetime, digest.number) <= (peer.lifetime, peer.number) && !set_back {
             return false;
         }
         peer.lifetime = digest.lifetime;
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -68,6 +68,19 @@
     assert!(hear(&mut roster, &restarted, now));
 }
 
+/// A clock that was set back gives the next lifetime a smaller number.
+#[test]
+fn node_that_starts_after_its_clock_was_set_back_is_heard() {
+    let mut roster = roster("me");
+    let start = Time::from_millis(1_000);
+    assert!(hear(&mut roster, &Digest { lifetime: 9, ..digest("n", "a", 50) }, start));
+    let set_back = Digest { lifetime: 3, ..digest("n", "a", 1) };
+    assert!(!hear(&mut roster, &set_back, start), "may be a late one of the lifetime before");
+    let later = start + Duration::from_secs(6);
+    assert!(hear(&mut roster, &set_back, later));
+    assert!(!hear(&mut roster, &set_back, later), "heard already");
+}
+
 #[test]
 fn silent_nodes_count_until_they_are_forgotten() {
     let mut roster = roster("me");
