--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -151,10 +151,17 @@
         self.fingerprint ^= before.hash ^ hash;
         self.noted += 1;
         self.recent.push_back(Noted { change, at: now, head: self.head });
+        self.forget(now);
     }
 
-    /// What is told of the directory.
-    pub fn excerpt(&mut self, now: Time) -> Excerpt {
+    /// Changes that are kept, for telling them or against older news.
+    #[must_use]
+    pub fn kept(&self) -> usize {
+        self.recent.len() + self.known.len()
+    }
+
+    /// Drops what is not told any more; on nodes that tell nothing as well.
+    fn forget(&mut self, now: Time) {
         while let Some(first) = self.recent.front()
             && (now.since(first.at) > TOLD || self.recent.len() > MOST_TOLD)
         {
@@ -164,6 +171,11 @@
         }
         let old = |known: &Known| known.removed.is_some_and(|at| now.since(at) > REMOVED_KEPT);
         self.known.retain(|_, known| !old(known));
+    }
+
+    /// What is told of the directory.
+    pub fn excerpt(&mut self, now: Time) -> Excerpt {
+        self.forget(now);
         let changes = self.recent.iter().map(|noted| noted.change.clone()).collect();
         let (head, fingerprint) = (self.head, self.fingerprint);
         Excerpt { base: self.base.min(head), head, fingerprint, changes }
--- a/crates/relay/tests/journal.rs
+++ b/crates/relay/tests/journal.rs
@@ -163,3 +163,19 @@
     assert!(!journal.is_news(&id(1), Version(8)));
     assert!(journal.is_news(&id(1), Version(10)));
 }
+
+/// Endpoints come and go for hours at a node that tells nobody.
+#[test]
+fn journal_stays_small() {
+    let mut now = Time::from_millis(1_000);
+    let mut journal = Journal::new();
+    journal.advance(Version(1));
+    for round in 0..20_000u64 {
+        let id = EndpointId::new(&format!("e-{round}")).unwrap();
+        let change = |version, listing| Change { id: id.clone(), version, listing };
+        journal.note(change(Version(2 * round + 2), Some(listing(0, false))), now);
+        journal.note(change(Version(2 * round + 3), None), now);
+        now = now + Duration::from_secs(1);
+    }
+    assert!(journal.kept() < 200, "{} entries", journal.kept());
+}
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -334,3 +334,22 @@
     assert_eq!(first(3_000, SLOTS - 1), id(0), "the last slot at the fastest");
     assert_eq!(first(3_000, SLOTS), id(1), "then the usual one");
 }
+
+/// Addresses of endpoints that are gone are used again by others, which do not run the request.
+#[test]
+fn endpoint_at_whose_address_another_one_is_rests_until_its_entry_changes() {
+    let service = service();
+    let demand = Demand { prompt: Tokens(0), output: Tokens(0) };
+    let at = Time::from_millis;
+    let mut fleet = fleet(1);
+    let is_chosen = |fleet: &Fleet, ms| fleet.pick(&ask(&service, 0), at(ms)).is_some();
+    deal_all(&mut fleet);
+    fleet.begin(&id(0), demand);
+    fleet.end(&id(0), demand, false, Outcome::Misplaced, Time::ZERO);
+    assert!(!is_chosen(&fleet, 2_900));
+    assert!(is_chosen(&fleet, 3_000));
+    fleet.end(&id(0), demand, false, Outcome::Misplaced, at(3_000));
+    fleet.list(Listing { born: Some(2), ..listing(0) }, Distance::Zone, at(3_100));
+    deal_all(&mut fleet);
+    assert!(is_chosen(&fleet, 3_100));
+}
