--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -114,8 +114,12 @@
         self.head
     }
 
-    /// Notes that the store was followed up to a version, with all changes taken over.
-    pub fn advance(&mut self, head: Version) {
+    /// Notes that the store was followed up to a version. While removals are held back, the
+    /// directory is not known up to it, and the head stays.
+    pub fn advance(&mut self, head: Version, held_back: usize) {
+        if held_back > 0 && self.head != Version(0) {
+            return;
+        }
         if self.head == Version(0) {
             // What came with the first reading is no change to anyone.
             self.base = head;
@@ -186,15 +190,15 @@
         self.head != Version(0) && excerpt.base <= self.head && excerpt.head >= self.head
     }
 
-    /// Changes of an excerpt that are to be taken over.
+    /// Changes of an excerpt that are to be taken over. What the teller believes at its head goes
+    /// before what is believed here at the same head or an earlier one: a removal may have been held
+    /// back, and is told after its version.
     #[must_use]
     pub fn news(&self, excerpt: &Excerpt) -> Vec<Change> {
         if !self.follows(excerpt) {
             return Vec::new();
         }
-        let is_new = |change: &&Change| {
-            change.version > self.head && self.is_news(&change.id, change.version)
-        };
+        let is_new = |change: &&Change| self.is_news(&change.id, change.version);
         excerpt.changes.iter().filter(is_new).cloned().collect()
     }
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -372,7 +372,7 @@
             !over
         });
         let Position::Following(head) = follower.position else { continue };
-        board.journal.borrow_mut().advance(head);
+        board.journal.borrow_mut().advance(head, missing.len());
         if board.journal.borrow().noted() > noted {
             tell(&board);
         }
--- a/crates/relay/tests/journal.rs
+++ b/crates/relay/tests/journal.rs
@@ -64,10 +64,20 @@
     }
 
     fn read(&mut self, table: &Table, now: Time) {
+        self.follow(table, false, now);
+    }
+
+    /// Reads the store; removals may be held back, as after the store's return.
+    fn follow(&mut self, table: &Table, holds: bool, now: Time) {
+        let mut held_back = 0;
         for (id, (version, listing)) in &table.rows {
-            self.take(id, *version, listing.clone(), now);
+            if holds && listing.is_none() && self.believed.contains_key(id) {
+                held_back += 1;
+            } else {
+                self.take(id, *version, listing.clone(), now);
+            }
         }
-        self.journal.advance(Version(table.version));
+        self.journal.advance(Version(table.version), held_back);
     }
 
     fn hear(&mut self, reader: &mut Self, now: Time) {
@@ -88,7 +98,7 @@
 #[derive(Debug, Clone)]
 enum Step {
     Write(u8, u8),
-    Follow(usize),
+    Follow(usize, bool),
     Tell(usize),
     Wait(u64),
 }
@@ -96,7 +106,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         6 => (0..12u8, 0..3u8).prop_map(|(number, state)| Step::Write(number, state)),
-        2 => (0..2usize).prop_map(Step::Follow),
+        2 => (0..2usize, any::<bool>()).prop_map(|(reader, holds)| Step::Follow(reader, holds)),
         3 => (0..2usize).prop_map(Step::Tell),
         1 => (0..4_000u64).prop_map(Step::Wait),
     ]
@@ -121,7 +131,7 @@
         for step in steps {
             match step {
                 Step::Write(number, state) => table.write(number, state),
-                Step::Follow(reader) => readers[reader].read(&table, now),
+                Step::Follow(reader, holds) => readers[reader].follow(&table, holds, now),
                 Step::Tell(reader) => node.hear(&mut readers[reader], now),
                 Step::Wait(ms) => now = now + Duration::from_millis(ms),
             }
@@ -130,6 +140,14 @@
             }
             prop_assert!(node.is_whole(&table));
         }
+        // Once nothing changes any more, each telling by a reader that is up to date suffices.
+        for reader in &mut readers {
+            reader.read(&table, now);
+            node.hear(reader, now);
+        }
+        if node.journal.head() < Version(table.version) {
+            prop_assert!(node.journal.has_gap(now + Duration::from_secs(2)));
+        }
     }
 }
 
@@ -158,7 +176,7 @@
 fn older_news_do_not_bring_back_a_removed_entry() {
     let now = Time::from_millis(1_000);
     let mut journal = Journal::new();
-    journal.advance(Version(1));
+    journal.advance(Version(1), 0);
     journal.note(Change { id: id(1), version: Version(9), listing: None }, now);
     assert!(!journal.is_news(&id(1), Version(8)));
     assert!(journal.is_news(&id(1), Version(10)));
@@ -169,7 +187,7 @@
 fn journal_stays_small() {
     let mut now = Time::from_millis(1_000);
     let mut journal = Journal::new();
-    journal.advance(Version(1));
+    journal.advance(Version(1), 0);
     for round in 0..20_000u64 {
         let id = EndpointId::new(&format!("e-{round}")).unwrap();
         let change = |version, listing| Change { id: id.clone(), version, listing };
@@ -179,3 +197,23 @@
     }
     assert!(journal.kept() < 200, "{} entries", journal.kept());
 }
+
+/// One reader holds a removal back, since it has just reached the store again; another does not.
+/// Whoever heard of the first one's version must still take over what the second tells.
+#[test]
+fn removal_that_one_reader_holds_back_is_heard_from_another() {
+    let now = Time::from_millis(1_000);
+    let mut table = Table::default();
+    let (mut prompt, mut holding, mut node) = (Node::default(), Node::default(), Node::default());
+    table.write(1, 1);
+    for reader in [&mut prompt, &mut holding, &mut node] {
+        reader.read(&table, now);
+    }
+    table.write(1, 0);
+    holding.follow(&table, true, now);
+    node.hear(&mut holding, now);
+    prompt.read(&table, now);
+    node.hear(&mut prompt, now);
+    assert!(node.believed.is_empty(), "sent to an endpoint that has left");
+    assert!(!node.journal.has_gap(now + Duration::from_secs(5)));
+}
