--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,8 +10,10 @@
 //!   the pure modules `sched::{line, fleet, quota, budget, strike}`.
 //! * [`pool`] keeps connections to endpoints; [`stream`] passes events on and
 //!   continues a broken stream at another endpoint where that is allowed.
-//! * [`watch`] follows the store's tables; [`peers`] tells the other nodes, kept
-//!   in the [`roster`], by [`digest`]s what this one has in flight.
+//! * [`discovery`] finds the other nodes; [`peers`] tells them, kept in the
+//!   [`roster`], by [`digest`]s what this one has in flight.
+//! * [`watch`] follows the store's tables on a few nodes; the others hear of
+//!   changes in the [`directory`] of endpoints through its [`journal`].
 //!
 //! The crate names no header, path or document of any deployment. A
 //! [`dialect::Dialect`] translates headers and a [`watch::Table`] reads the
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -1,7 +1,7 @@
 //! The promises, checked on a record.
 //!
 //! Promises without a time limit hold for all nodes at all times. Those with
-//! one hold for nodes that were in touch: calm for [`STABLE`] before, and the
+//! one hold for nodes that were in touch: calm for some seconds before, and the
 //! store with them.
 
 use crate::record::{Call, Kind, Outcome, Record, Rules, Run, Scope};
