Soak: the document of its stage is made from the stand-ins' one

Cause: the stage wrote the route and organisation entries of the users' document a second time.

Change: scene::route and scene::organisation are used by both.

--- a/crates/fake-host/src/scene.rs
+++ b/crates/fake-host/src/scene.rs
@@ -22,13 +22,22 @@
     version: u64,
 }
 
-fn route(name: &str, prefix: &str, kind: &str, attempts: u32, resume: bool) -> Value {
+/// Route to the service `llm`.
+#[must_use]
+pub fn route(name: &str, prefix: &str, kind: &str, attempts: usize, resume: bool) -> Value {
     json!({"name": name, "host": "a.example", "prefix": prefix, "route_type": kind,
         "timeout_ms": 8000, "target_latency_ms": 500, "priority": 1, "service": "llm",
         "max_attempts": attempts, "anonymous": false, "stream_resume": resume,
         "target_gap_ms": 250})
 }
 
+/// Organisation whose requests without a stated size count 200 tokens; no allotment at a rate of 0.
+#[must_use]
+pub fn organisation(name: &str, keys: &[&str], rate: usize, burst: usize) -> Value {
+    json!({"name": name, "api_keys": keys, "unit": "token_based", "uncached_tokens": 200,
+        "rate_per_s": rate, "burst": burst})
+}
+
 /// Document with one route of each kind and one organisation.
 #[must_use]
 pub fn document() -> Value {
@@ -42,8 +51,7 @@
         "services": [{"name": "llm", "health_path": "/healthz", "max_connections": 100}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": "org-1", "api_keys": ["key-1"], "unit": "token_based",
-            "uncached_tokens": 200, "rate_per_s": 0, "burst": 0}]})
+        "tenants": [organisation("org-1", &["key-1"], 0, 0)]})
 }
 
 impl Scene {
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -11,7 +11,7 @@
     record::{Disturbance, Leaving, Prefix, Record, Rules, Run, Scope},
 };
 use anyhow::Result;
-use fake_host::{Fault, Node, Store, Worker};
+use fake_host::{Fault, Node, Store, Worker, scene};
 use serde_json::{Value, json};
 use std::{
     net::SocketAddr,
@@ -76,15 +76,10 @@
 }
 
 fn route(name: &str, prefix: &str, service: &str, kind: &str, resume: bool) -> Value {
-    json!({"name": name, "host": "a.example", "prefix": prefix, "route_type": kind,
-        "timeout_ms": millis(check::TIMEOUT), "target_latency_ms": 500, "priority": 1,
-        "service": service, "max_attempts": check::ATTEMPTS, "anonymous": false,
-        "stream_resume": resume, "target_gap_ms": 250})
-}
-
-fn organisation(name: &str, keys: &[&str], rate: usize, burst: usize) -> Value {
-    json!({"name": name, "api_keys": keys, "unit": "token_based",
-        "uncached_tokens": check::COST, "rate_per_s": rate, "burst": burst})
+    let mut route = scene::route(name, prefix, kind, check::ATTEMPTS, resume);
+    route["service"] = service.into();
+    route["timeout_ms"] = millis(check::TIMEOUT).into();
+    route
 }
 
 fn millis(span: Duration) -> u64 {
@@ -131,7 +126,7 @@
             stage.posts.push(Post { node, callers, store, phase: Phase::Runs });
         }
         for post in &stage.posts {
-            fake_host::scene::await_status(&post.node, http::StatusCode::OK).await?;
+            scene::await_status(&post.node, http::StatusCode::OK).await?;
         }
         stage.start = Instant::now();
         stage.record.rules[0].from = Duration::ZERO;
@@ -166,23 +161,23 @@
         self.version += 1;
         let moving = route("moving", self.prefix.path(), "llm", "idempotent", false);
         let withdrawn = if self.key { &["key-3"][..] } else { &[] };
-        let document = json!({"version": self.version,
-            "routes": [
-                route("safe", "/safe/", "llm", "idempotent", false),
-                route("once", "/once/", "desk", "non_idempotent", false),
-                route("stream", "/stream/", "llm", "streaming", false),
-                route("resume", "/resume/", "llm", "streaming", true),
-                moving,
-            ],
-            "services": [
-                {"name": "llm", "health_path": "/healthz", "max_connections": 100},
-                {"name": "desk", "health_path": "/healthz", "max_connections": 100}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
-                "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-            "tenants": [
-                organisation("org-1", &["key-1"], 0, 0),
-                organisation("org-2", &["key-2"], check::RATE, check::BURST),
-                organisation("org-3", withdrawn, 0, 0)]});
+        let mut document = scene::document();
+        document["version"] = self.version.into();
+        document["routes"] = json!([
+            route("safe", "/safe/", "llm", "idempotent", false),
+            route("once", "/once/", "desk", "non_idempotent", false),
+            route("stream", "/stream/", "llm", "streaming", false),
+            route("resume", "/resume/", "llm", "streaming", true),
+            moving,
+        ]);
+        let mut desk = document["services"][0].clone();
+        desk["name"] = "desk".into();
+        document["services"] = json!([document["services"][0], desk]);
+        document["tenants"] = json!([
+            scene::organisation("org-1", &["key-1"], 0, 0),
+            scene::organisation("org-2", &["key-2"], check::RATE, check::BURST),
+            scene::organisation("org-3", withdrawn, 0, 0),
+        ]);
         self.store.put("op", "config", &document);
         let rules = Rules { from: self.now(), prefix: self.prefix, key: self.key };
         self.record.rules.push(rules);
