--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -16,11 +16,23 @@
     pub prompt: Option<Tokens>,
     /// Longest answer.
     pub output: Option<Tokens>,
+    /// Caller's estimate of the answer's length; right at the median, often far off.
+    pub estimate: Option<Tokens>,
     /// Last event that the caller has, when it continues a stream.
     pub resume_after: Option<u64>,
 }
 
+/// Usual part of the longest answer that is used; the sheets' means are a tenth of their maxima.
+const USUAL_PART: u64 = 10;
+
 impl Head {
+    /// Expected length of the answer.
+    #[must_use]
+    pub fn expected_output(&self) -> Tokens {
+        let longest = self.output.unwrap_or_default();
+        self.estimate.map_or(Tokens(longest.0 / USUAL_PART), |estimate| estimate.min(longest))
+    }
+
     /// Tokens that the request counts against its organisation's allotment.
     #[must_use]
     pub fn cost(&self, plain: Tokens) -> Tokens {
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -55,7 +55,7 @@
     /// Size of a request out of its headers.
     #[must_use]
     pub fn demand(head: &caller::Head) -> Demand {
-        Demand { prompt: head.prompt.unwrap_or_default(), output: head.output.unwrap_or_default() }
+        Demand { prompt: head.prompt.unwrap_or_default(), output: head.expected_output() }
     }
 
     /// The same request under other terms, before all that have not begun.
@@ -102,6 +102,7 @@
     reply: oneshot::Sender<Verdict>,
     avoid: Box<[EndpointId]>,
     pause: Option<Duration>,
+    demand: Demand,
 }
 
 /// Waiting requests of a node.
@@ -269,8 +270,11 @@
     avoid: &[EndpointId],
 ) -> Result<Flight, Refusal> {
     let (reply, verdict) = oneshot::channel();
-    let refused =
-        enqueue(board, wanted, Waiter { reply, avoid: avoid.into(), pause: wanted.pause })?;
+    let refused = enqueue(
+        board,
+        wanted,
+        Waiter { reply, avoid: avoid.into(), pause: wanted.pause, demand: wanted.demand },
+    )?;
     let _place = Place { board, service: &wanted.service, request: wanted.request };
     refuse(refused);
     pump(board, &wanted.service);
@@ -343,12 +347,11 @@
     let waiters = &desk.waiters;
     let (bid, choice) = line.next(now, |bid| {
         let waiter = waiters.get(&bid.request)?;
-        let demand = Demand { prompt: bid.prompt, output: bid.output };
-        let (avoid, pause) = (&*waiter.avoid, waiter.pause);
+        let (avoid, pause, demand) = (&*waiter.avoid, waiter.pause, waiter.demand);
         fleet.pick(&Ask { service, demand, avoid, connections, pause }, now)
     })?;
     let waiter = desk.waiters.remove(&bid.request)?;
-    let demand = Demand { prompt: bid.prompt, output: bid.output };
+    let demand = waiter.demand;
     fleet.begin(&choice.endpoint, demand);
     let flight = Flight {
         board: Rc::clone(board),
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -15,7 +15,7 @@
 //! back within a step. Another one may have told the state in between, which
 //! the first would never correct. So an excerpt states the fingerprint of the
 //! teller's directory as well, and whoever arrives at the same head with
-//! another one has a gap too.
+//! another one for some time has a gap too.
 //!
 //! Invariants:
 //! * an entry is never replaced by an older version of it;
@@ -31,8 +31,11 @@
 
 /// Time for which a change is told: several tellings, so that some may be lost.
 const TOLD: Duration = Duration::from_secs(5);
-/// Changes that are told at once; a change takes some 80 bytes of a datagram.
-const MOST_TOLD: usize = 40;
+/// Changes that are told at once: a change takes some 80 bytes, a datagram holds 8 KB.
+const MOST_TOLD: usize = 64;
+/// Time for which a fingerprint may differ before it counts as a gap. Tellers that have heard of
+/// changes which they have not read yet differ until they have, so two of their intervals are enough.
+const DIFFERING: Duration = Duration::from_secs(2);
 /// Time for which the version of a removed entry is kept, so that no older news brings it back.
 const REMOVED_KEPT: Duration = Duration::from_secs(60);
 
@@ -89,10 +92,10 @@
     recent: VecDeque<Noted>,
     /// Hashes of all entries, combined.
     fingerprint: u64,
-    /// Largest head that was told and could not be taken over.
+    /// Largest base that was told and is not known here.
     needed: Version,
-    /// Another node has another directory at the same head.
-    differs: bool,
+    /// Since when nobody tells of a directory like this one.
+    differs_since: Option<Time>,
     /// Changes noted since the start.
     noted: u64,
     told_at: Time,
@@ -119,7 +122,7 @@
             self.recent.clear();
         }
         self.head = self.head.max(head);
-        self.differs = false;
+        self.differs_since = None;
     }
 
     /// Changes noted since the start.
@@ -191,11 +194,13 @@
         if excerpt.head < self.head {
             return;
         }
-        if self.follows(excerpt) && excerpt.fingerprint == self.fingerprint {
+        if !self.follows(excerpt) {
+            self.needed = self.needed.max(excerpt.base);
+        } else if excerpt.fingerprint == self.fingerprint {
             self.head = excerpt.head;
+            self.differs_since = None;
         } else {
-            self.needed = self.needed.max(excerpt.head);
-            self.differs = excerpt.head == self.head;
+            self.differs_since.get_or_insert(now);
         }
     }
 
@@ -207,7 +212,8 @@
 
     /// Whether another node told of changes that follow on ones that are not known here.
     #[must_use]
-    pub fn has_gap(&self) -> bool {
-        self.differs || self.needed > self.head
+    pub fn has_gap(&self, now: Time) -> bool {
+        let differs = self.differs_since.is_some_and(|since| now.since(since) >= DIFFERING);
+        differs || self.needed > self.head
     }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -66,7 +66,7 @@
     if changed {
         desk::pump_all(board);
     }
-    if digest.configuration > board.version() || board.journal.borrow().has_gap() {
+    if digest.configuration > board.version() || board.journal.borrow().has_gap(now) {
         board.behind.notify_waiters();
     }
 }
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -22,9 +22,11 @@
 const FORGET: Duration = Duration::from_secs(30);
 /// Other nodes up to which all are told as often as those near.
 const SMALL: usize = 16;
-/// Nodes that follow the store for all: in four of them at once a failure is rare, and each costs
-/// the store two calls a second.
-const READERS: usize = 4;
+/// Nodes that follow the store for all, at least and at most: each costs the store two calls a
+/// second. With four of them `fleetbench sweep` broke CONFIG at 100 nodes.
+const READERS: (usize, usize) = (4, 8);
+/// Nodes for each of them, in between.
+const NODES_PER_READER: usize = 12;
 /// Key of the readers' rendezvous.
 const READER_KEY: &str = "store readers";
 
@@ -72,6 +74,11 @@
     INTERVAL_MIN.max(INTERVAL_PER_NODE * nodes)
 }
 
+/// Nodes that follow the store among so many.
+fn readers(nodes: usize) -> usize {
+    (nodes / NODES_PER_READER).clamp(READERS.0, READERS.1)
+}
+
 /// This node's part of the demand.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Parts {
@@ -215,7 +222,7 @@
         let score = |id: &InstanceId| units::score(id.as_str(), READER_KEY);
         let Some(me) = &self.me else { return true };
         let mine = score(me);
-        self.heard_peers(now).filter(|(id, _)| score(id) > mine).count() < READERS
+        self.heard_peers(now).filter(|(id, _)| score(id) > mine).count() < readers(self.known())
     }
 
     /// What waits for a service at the other nodes, in sum.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -255,7 +255,7 @@
         let told = board.roster.borrow().told(now);
         let newer = match self.table {
             Table::Configuration => told.configuration > board.version(),
-            Table::Endpoints => board.journal.borrow().has_gap(),
+            Table::Endpoints => board.journal.borrow().has_gap(now),
             Table::Nodes => false,
         };
         let last = self.read_at.max(board.journal.borrow().told_at());
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -312,3 +312,25 @@
         assert!(all * 10 <= slots * 11, "{nodes} nodes: {all} of {slots} in use");
     }
 }
+
+/// A third of the endpoints takes five times as long for an event as the fastest.
+#[test]
+fn long_answers_go_to_fast_endpoints_first() {
+    let service = service();
+    let mut fleet = fleet(3);
+    for (number, pause) in [(0, 16), (1, 30), (2, 84)] {
+        for _ in 0..50 {
+            fleet.pause(&id(number), Duration::from_millis(pause), 1);
+        }
+    }
+    deal_all(&mut fleet);
+    let mut first = |output: u64, flights: u32| {
+        let peer = InstanceId::new("peer").unwrap();
+        let share = Share { flights, unread: Tokens(0) };
+        fleet.hear(&peer, &HashMap::from([(id(0), share)]), Time::ZERO);
+        let demand = Demand { prompt: Tokens(600), output: Tokens(output) };
+        fleet.pick(&Ask { demand, ..ask(&service, 0) }, Time::ZERO).unwrap().endpoint
+    };
+    assert_eq!(first(3_000, SLOTS - 1), id(0), "the last slot at the fastest");
+    assert_eq!(first(3_000, SLOTS), id(1), "then the usual one");
+}
