--- a/crates/gateway/src/http/reply.rs
+++ b/crates/gateway/src/http/reply.rs
@@ -1,10 +1,10 @@
 //! Refusals as problem documents.
 
-use super::Board;
+use super::{Board, intake};
 use codes::{Code, Event, Problem};
 use ntex::{
     http::StatusCode,
-    web::{HttpResponse, HttpResponseBuilder},
+    web::{HttpResponse, HttpResponseBuilder, types::Payload},
 };
 use rand::Rng;
 use sched::life::Refusal;
@@ -87,8 +87,9 @@
 }
 
 /// Answer to paths that are not served.
-pub async fn unknown_path(board: Board) -> HttpResponse {
+pub async fn unknown_path(board: Board, payload: Payload) -> HttpResponse {
     let request = RequestId::random(&mut rand::rng());
     let detail = "paths: POST /v1/chat/completions, /services/{service}/{path}";
-    Refused::new(request, Code::UnknownOperation, detail).respond(&board)
+    let refused = Refused::new(request, Code::UnknownOperation, detail);
+    intake::drain(&board, payload, refused).await.respond(&board)
 }
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -23,7 +23,7 @@
 /// Other nodes up to which all are told as often as those near.
 const SMALL: usize = 16;
 /// Nodes that follow the store for all, at least and at most: each costs the store two calls a
-/// second. With four of them `fleetbench sweep` broke CONFIG at 100 nodes.
+/// second. With four among 100 nodes, a node learned of a configuration too late.
 const READERS: (usize, usize) = (4, 8);
 /// Nodes for each of them, in between.
 const NODES_PER_READER: usize = 12;
