--- a/crates/sched/src/cell.rs
+++ b/crates/sched/src/cell.rs
@@ -11,7 +11,7 @@
 //! second permit.
 
 use crate::{
-    fair::Queue,
+    fair::{LOWEST_RANK, Queue},
     job::{Grant, Job, Outcome, Reason, RunnerUp, Shed},
     placement::Demand,
     prefix::Cache,
@@ -229,7 +229,9 @@
     }
 
     /// Adds a job to the queue and sheds jobs beyond its limits, lowest tier first.
-    pub fn register(&mut self, job: Job, now: Time) -> Vec<Shed> {
+    pub fn register(&mut self, mut job: Job, now: Time) -> Vec<Shed> {
+        // A peer's frame may contain any number; tiers beyond the last count as the last.
+        job.rank = job.rank.min(LOWEST_RANK);
         if self.resend_grant(job.request, now) {
             return Vec::new();
         }
--- a/crates/sched/src/fair.rs
+++ b/crates/sched/src/fair.rs
@@ -19,6 +19,10 @@
 /// Number of tiers; lower ones count as the last.
 pub const TIERS: usize = 5;
 
+/// Rank of the last tier.
+#[allow(clippy::cast_possible_truncation, reason = "a small number")]
+pub const LOWEST_RANK: Rank = Rank((TIERS - 1) as u8);
+
 /// Order of requests within one organisation and tier.
 type OrderKey = (Time, u64);
 
--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -202,3 +202,16 @@
         assert!((1..=3).contains(&count), "{name}: {count} of 8");
     }
 }
+
+/// A peer's frame may name a tier that does not exist; it counts as the lowest one.
+#[test]
+fn rank_beyond_the_last_tier_is_shed_like_the_lowest() {
+    let config = Config { max_waiting: 2, ..Config::default() };
+    let mut cell = cell(&[], config);
+    let mut shed = Vec::new();
+    for (number, rank) in [(1, 200), (2, 0), (3, 5), (4, 4)] {
+        shed.extend(cell.register(job(number, rank), SOON));
+    }
+    assert_eq!(shed.len(), 2);
+    assert!(shed.iter().all(|shed| shed.request != RequestId::new(2)), "the first tier stays");
+}
