--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Largest incomplete event that is buffered, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Error that makes a stream unusable.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -36,6 +36,8 @@
 pub struct Decoder {
     partial: BytesMut,
     last: Option<u64>,
+    /// Error after the last event that was returned.
+    error: Option<Error>,
 }
 
 /// Complete events.
@@ -51,7 +53,7 @@
     /// Decoder of a stream that continues after event `last`.
     #[must_use]
     pub fn new(last: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last }
+        Self { last, ..Self::default() }
     }
 
     /// Last valid event.
@@ -60,17 +62,27 @@
         self.last
     }
 
-    /// Drops a partially received event.
+    /// Drops a partially received event and an error after the last valid one.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.error = None;
     }
 
-    /// Decodes the events that `piece` completes.
+    /// Error after the events that were returned; nothing more can be decoded.
+    #[must_use]
+    pub fn error(&self) -> Option<Error> {
+        self.error
+    }
+
+    /// Decodes the events that `piece` completes. If valid events precede an error in the same
+    /// piece, they are returned, and [`Decoder::error`] and the next call return the error.
     ///
     /// # Errors
-    /// [`Error`]; valid events before it in the same piece are not returned, although
-    /// [`Decoder::last`] counts them.
+    /// [`Error`].
     pub fn push(&mut self, piece: Bytes) -> Result<Batch, Error> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
         let joined = if self.partial.is_empty() {
             piece
         } else {
@@ -80,7 +92,13 @@
         let mut end = 0;
         let mut count = 0;
         while let Some(length) = event_length(&joined[end..]) {
-            self.check_number(&joined[end..end + length])?;
+            if let Err(error) = self.check_number(&joined[end..end + length]) {
+                if count == 0 {
+                    return Err(error);
+                }
+                self.error = Some(error);
+                return Ok(Batch { bytes: joined.slice(..end), count });
+            }
             end += length;
             count += 1;
         }
@@ -97,7 +115,11 @@
     /// # Errors
     /// [`Error::Truncated`].
     pub fn finish(&self) -> Result<(), Error> {
-        if self.partial.is_empty() { Ok(()) } else { Err(Error::Truncated) }
+        match self.error {
+            Some(error) => Err(error),
+            None if self.partial.is_empty() => Ok(()),
+            None => Err(Error::Truncated),
+        }
     }
 
     fn check_number(&mut self, event: &[u8]) -> Result<(), Error> {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -216,6 +216,9 @@
             let State::Reading(segment) = &mut self.state else {
                 return Poll::Ready(Err(End::Complete));
             };
+            if let Some(error) = self.decoder.error() {
+                return Poll::Ready(Err(End::Broken(error.to_string().into())));
+            }
             match Pin::new(&mut segment.body).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(piece) = frame.into_data() else { continue };
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -84,3 +84,18 @@
     let mut decoder = Decoder::new(None);
     assert_eq!(push(&mut decoder, "id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n"), Ok(2));
 }
+
+/// A valid event and one out of order arrive in the same piece: the valid one is forwarded, since a
+/// resumed stream continues after it.
+#[test]
+fn event_before_a_gap_is_not_lost() {
+    let mut decoder = Decoder::new(None);
+    assert_eq!(push(&mut decoder, &(stream(1..4) + &event(7))), Ok(3));
+    assert_eq!(decoder.last(), Some(3));
+    let gap = Error::Gap { last: 3, found: 7 };
+    assert_eq!(decoder.error(), Some(gap));
+    assert_eq!(push(&mut decoder, &event(4)), Err(gap));
+    assert_eq!(decoder.finish(), Err(gap));
+    decoder.discard_partial();
+    assert_eq!(push(&mut decoder, &stream(4..6)), Ok(2), "resumed");
+}
