--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -42,6 +42,8 @@
     Stalled = 104;
     /// The logger dropped records because its channel was full.
     LogLoss = 105;
+    /// A task of the process failed unexpectedly and runs again.
+    TaskFailed = 106;
     /// A request was assigned to an endpoint: endpoint, reason, runners-up, queue time.
     Routed = 200;
     /// A request was refused or shed: code, tier, reason.
@@ -87,6 +89,10 @@
     CertificatesReloaded = 405;
     /// A datagram without a valid message authentication code was dropped.
     DatagramRefused = 406;
+    /// A document was received from another node: kind, version, size, time.
+    DocumentReceived = 407;
+    /// A document could not be received from or sent to another node.
+    TransferFailed = 408;
     /// A configuration version came into force.
     ConfigInForce = 500;
     /// An older or corrupt configuration was ignored.
@@ -95,6 +101,9 @@
     SettingsReloaded = 502;
     /// A directory entry or a node's row could not be decoded and was ignored.
     EntryIgnored = 503;
+    /// A newer configuration is known to exist but did not arrive in time; requests are refused until
+    /// it does.
+    ConfigOverdue = 504;
     /// The platform's store does not respond.
     StoreDown = 510;
     /// The platform's store responds again.
--- a/crates/fake-host/src/node.rs
+++ b/crates/fake-host/src/node.rs
@@ -36,9 +36,17 @@
 /// Lines written by the process, across restarts.
 type Lines = Arc<Mutex<Vec<String>>>;
 
-/// Free TCP port of an address that only this process uses.
-fn free_port(ip: IpAddr) -> Result<u16> {
-    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+/// Free and different ports of an address that only this process uses; the last one is free for TCP
+/// and UDP.
+fn free_ports(ip: IpAddr) -> Result<[u16; 4]> {
+    let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)));
+    let mut ports = [0; 4];
+    for (port, listener) in ports.iter_mut().zip(&listeners) {
+        let listener = listener.as_ref().map_err(|e| anyhow::anyhow!("binding {ip}: {e}"))?;
+        *port = listener.local_addr()?.port();
+    }
+    UdpSocket::bind((ip, ports[3]))?;
+    Ok(ports)
 }
 
 impl Node {
@@ -48,8 +56,7 @@
     /// The program cannot be started.
     pub fn start(program: &Path, name: &str, zone: &str, store: SocketAddr) -> Result<Self> {
         let ip = crate::unused_address();
-        let (callers, readiness, metrics) = (free_port(ip)?, free_port(ip)?, free_port(ip)?);
-        let peers = UdpSocket::bind((ip, 0))?.local_addr()?.port();
+        let [callers, readiness, metrics, peers] = free_ports(ip)?;
         let directory = tempfile::tempdir()?;
         let settings = format!(
             r#"node_name = "{name}"
--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -21,6 +21,11 @@
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Repetitions of the filler in each piece that is sent without end.
+const FILLER_REPETITIONS: usize = 4_096;
+/// Pause between these pieces.
+const FILLER_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Interval at which a crash checks whether connections are refused.
 const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -42,6 +47,12 @@
     Unsigned,
     /// Requests run and get a response with status 500.
     Error,
+    /// Requests are rejected with status 503, and the body of the response never ends.
+    RejectWithoutEnd,
+    /// Requests run, and the head of the response never ends.
+    HeadWithoutEnd,
+    /// Requests run, and bytes that are no response follow the head without end.
+    BodyWithoutEnd,
 }
 
 /// One run of a request.
@@ -225,6 +236,10 @@
         stream.write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).await?;
         return Ok(true);
     }
+    if fault == Fault::RejectWithoutEnd {
+        let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\r\n";
+        return write_without_end(stream, head, "x").await;
+    }
     let streamed = run.headers.contains_key("x-token-usage");
     let after = run.headers.get("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
     let index = {
@@ -244,6 +259,13 @@
     let head = format!(
         "HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\nX-Server-Load: 1,0,4,100\r\n{signature}"
     );
+    match fault {
+        Fault::HeadWithoutEnd => return write_without_end(stream, &head, "X-Pad: pad\r\n").await,
+        Fault::BodyWithoutEnd => {
+            return write_without_end(stream, &format!("{head}\r\n"), "no response ").await;
+        }
+        _ => {}
+    }
     if streamed {
         let written = write_events(stream, state, &head, after, fault).await;
         if written.is_err() {
@@ -260,6 +282,16 @@
     Ok(true)
 }
 
+/// Writes `head` and then `filler` until the peer closes the connection.
+async fn write_without_end(stream: &mut TcpStream, head: &str, filler: &str) -> Result<bool> {
+    stream.write_all(head.as_bytes()).await?;
+    let filler = filler.repeat(FILLER_REPETITIONS);
+    loop {
+        stream.write_all(filler.as_bytes()).await?;
+        tokio::time::sleep(FILLER_INTERVAL).await;
+    }
+}
+
 async fn write_events(
     stream: &mut TcpStream,
     state: &Mutex<State>,
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -4,6 +4,7 @@
     blackboard::{Blackboard, Phase},
     configuration::{Configuration, Organisation, Route},
     dispatcher::Submission,
+    memory::Reservation,
     reply::{RETRY_DELAY, Refused},
     request,
 };
@@ -26,8 +27,6 @@
 const SILENCE_TARGET_FACTOR: u32 = 4;
 /// Same, as a multiple of the route's target gap between events.
 const SILENCE_GAP_FACTOR: u32 = 8;
-/// Fraction of the process's memory that callers' bodies may use, as a divisor.
-const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Time from dispatch to the first response byte, excluding the prefill.
 const DISPATCH_OVERHEAD: Duration = Duration::from_millis(60);
 /// Prefill time for 1,000 prompt tokens, from the engines' data sheet.
@@ -60,6 +59,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory that the body uses.
+    pub body_memory: Reservation,
 }
 
 /// Validates a request and reads its body.
@@ -77,6 +78,10 @@
         let refused = Refused::new(Code::NotReady, "no configuration yet");
         return Err(refused.with_retry_after(RETRY_DELAY));
     };
+    if let Some(version) = board.overdue.borrow().version(arrived) {
+        let refused = Refused::new(Code::NotReady, format!("version {version} did not arrive yet"));
+        return Err(refused.with_retry_after(RETRY_OTHER_NODE_DELAY));
+    }
     let head = head.map_err(|name| Refused::new(Code::Malformed, format!("header {name}")))?;
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
@@ -94,7 +99,7 @@
         return Err(refused.with_retry_after(RETRY_OTHER_NODE_DELAY));
     }
     let (parts, body) = request.into_parts();
-    let body = read_body(board, &configuration, body, deadline).await?;
+    let (body, body_memory) = read_body(board, &configuration, body, deadline).await?;
     let fingerprint = fingerprint(organisation.as_deref(), parts.uri.path(), &body);
     let draw: u64 = rand::random();
     let service = route.backend(draw).cloned();
@@ -112,6 +117,7 @@
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         headers: parts.headers,
         body,
+        body_memory,
         route,
     })
 }
@@ -183,21 +189,28 @@
     configuration: &Configuration,
     body: Incoming,
     deadline: Time,
-) -> Result<Bytes, Refused> {
+) -> Result<(Bytes, Reservation), Refused> {
     let limits = configuration.limits;
     let declared = body.size_hint().lower();
     if declared > limits.max_body.get() {
         return Err(Refused::new(Code::BodyTooLarge, format!("{declared} bytes are stated")));
     }
-    if board.body_bytes.get() + declared > board.settings.memory / BODY_MEMORY_DIVISOR {
+    let no_memory = || {
         let refused = Refused::new(Code::TooManyRequests, "memory for bodies is in use");
-        return Err(refused.with_retry_after(RETRY_DELAY));
+        refused.with_retry_after(RETRY_DELAY)
+    };
+    let mut reservation = board.body_memory.reserve();
+    if !reservation.raise(usize::try_from(declared).unwrap_or(usize::MAX)) {
+        return Err(no_memory());
     }
     let limit = usize::try_from(limits.max_body.get()).unwrap_or(usize::MAX);
     let reading = Limited::new(body, limit).collect();
     let time = limits.header_timeout.min(deadline.since(board.now()));
     match tokio::time::timeout(time, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => {
+            let body = body.to_bytes();
+            if reservation.raise(body.len()) { Ok((body, reservation)) } else { Err(no_memory()) }
+        }
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
             Err(Refused::new(Code::BodyTooLarge, format!("more than {limit} bytes came")))
         }
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -5,14 +5,16 @@
 //! writes what other nodes report.
 
 use crate::{
-    configuration::{Configuration, Organisation},
+    configuration::{Configuration, Organisation, Overdue},
     dispatcher::Dispatcher,
     headers::Codec,
     journal::Journal,
+    memory,
     metrics::Metrics,
     pool::Pool,
     roster::Roster,
     settings::Settings,
+    transfer::Library,
 };
 use sched::{budget::Budget, fleet::Fleet, quota::Limiter, strike::Tracker};
 use slog::Logger;
@@ -33,6 +35,11 @@
 /// Number of endpoint crashes after which a request is quarantined.
 const CRASH_THRESHOLD: u8 = 3;
 
+/// Fraction of the process's memory that bodies may use, as a divisor.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Time after a failed call of the store after which a node may replace a reader again.
+const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(3);
+
 fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
@@ -68,13 +75,21 @@
     pub endpoints_read: Cell<bool>,
     /// Versions of the directory's entries.
     pub journal: RefCell<Journal>,
+    /// Documents for other nodes.
+    pub library: RefCell<Library>,
+    /// Configurations that other nodes have and this one does not.
+    pub overdue: RefCell<Overdue>,
+    /// Time at which a call of the store last failed, unless one has succeeded since.
+    pub store_failed: Cell<Option<Time>>,
     /// Time at which the store last became reachable again.
     pub store_returned: Cell<Option<Time>>,
     /// Notified to send a digest at once.
     pub broadcast_now: Notify,
     /// Notified when another node has newer data.
     pub outdated: Notify,
-    /// Notified when the nodes' rows have been read.
+    /// Whether the nodes' rows have been read.
+    pub nodes_known: Cell<bool>,
+    /// Notified when they have.
     pub nodes_read: Notify,
     /// Endpoints.
     pub fleet: RefCell<Fleet>,
@@ -95,8 +110,8 @@
     pub pool: Pool,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
-    /// Bytes of callers' bodies in memory; always zero, because nothing counts them.
-    pub body_bytes: Cell<u64>,
+    /// Memory for bodies of callers and endpoints.
+    pub body_memory: memory::Pool,
     /// Latest time at which the process exits, once it was told to stop.
     pub exit_at: Cell<Option<Time>>,
     /// Start of this process in Unix ms; larger after a restart unless the clock was set back.
@@ -117,20 +132,26 @@
             configuration: RefCell::default(),
             endpoints_read: Cell::new(false),
             journal: RefCell::default(),
+            library: RefCell::default(),
+            overdue: RefCell::new(Overdue::new(settings.apply_time)),
+            store_failed: Cell::new(None),
             store_returned: Cell::new(None),
             broadcast_now: Notify::new(),
             outdated: Notify::new(),
+            nodes_known: Cell::new(false),
             nodes_read: Notify::new(),
             fleet: RefCell::default(),
             limiter: RefCell::default(),
             retry_budgets: RefCell::default(),
             strikes: RefCell::new(Tracker::new().with_threshold(CRASH_THRESHOLD)),
-            roster: RefCell::new(Roster::new(settings.instance.clone())),
+            roster: RefCell::new(
+                Roster::new(settings.instance.clone()).with_regions(settings.region_count()),
+            ),
             demand: Cell::new(0),
+            body_memory: memory::Pool::new(settings.memory / BODY_MEMORY_DIVISOR),
             settings,
             pool: Pool::new(),
             in_progress: Cell::new(0),
-            body_bytes: Cell::new(0),
             exit_at: Cell::new(None),
             incarnation: unix_millis(),
             phase: watch::Sender::new(Phase::Serving),
@@ -166,6 +187,19 @@
         self.phase() == Phase::Serving
             && self.configuration.borrow().is_some()
             && self.endpoints_read.get()
+            && self.overdue.borrow().version(self.now()).is_none()
+    }
+
+    /// Whether calls of the store fail now. After some time without a call this is not known.
+    #[must_use]
+    pub fn is_store_lost(&self) -> bool {
+        self.store_failed.get().is_some_and(|at| self.now().since(at) < STORE_RETRY_INTERVAL)
+    }
+
+    /// Whether this node reads the store for the others.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.roster.borrow().is_reader(self.is_store_lost(), self.now())
     }
 
     /// Version of the configuration in force; zero if there is none.
@@ -182,9 +216,10 @@
     pub fn max_connections(&self, service: &ServiceId) -> u32 {
         let per_endpoint =
             self.configuration.borrow().as_ref().and_then(|c| c.connections(service));
-        let Some(per_endpoint) = per_endpoint else { return u32::MAX };
+        let Some(per_endpoint) = per_endpoint.filter(|limit| *limit > 0) else { return u32::MAX };
         let nodes = u32::try_from(self.roster.borrow().node_count()).unwrap_or(u32::MAX);
-        (per_endpoint * CONNECTION_SPREAD / nodes).clamp(MIN_CONNECTIONS, per_endpoint)
+        let share = per_endpoint.saturating_mul(CONNECTION_SPREAD) / nodes;
+        share.clamp(MIN_CONNECTIONS.min(per_endpoint), per_endpoint)
     }
 
     /// Counts a request towards the service's retry budget.
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -1,8 +1,12 @@
 //! Configuration in force: routes, organisations and limits.
 
 use sched::quota::Quota;
-use std::{collections::HashMap, rc::Rc, time::Duration};
-use units::{Bytes, OrganisationId, Rank, ServiceId, Tokens, Version};
+use std::{
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+use units::{Bytes, OrganisationId, Rank, ServiceId, Time, Tokens, Version};
 
 /// How often requests of a route may run, and how they are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -202,3 +206,59 @@
         self.routes.is_empty()
     }
 }
+
+/// Part of the time for applying a configuration that remains when requests are refused. Other nodes
+/// announce a version some time after the store has confirmed it.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(600);
+/// Maximum number of announced versions that are kept.
+const MAX_ANNOUNCED: usize = 64;
+
+/// Versions of the configuration that other nodes have in force and this one has not.
+///
+/// A node that cannot obtain a configuration in time must not apply the one
+/// before: it may lack a route, or accept a key that was withdrawn. It refuses
+/// requests until it has caught up.
+#[derive(Debug)]
+pub struct Overdue {
+    allowed: Duration,
+    announced: VecDeque<(Version, Time)>,
+}
+
+impl Overdue {
+    /// No announced versions; each must be in force within `apply_time`.
+    #[must_use]
+    pub fn new(apply_time: Duration) -> Self {
+        Self { allowed: apply_time.saturating_sub(OVERDUE_MARGIN), announced: VecDeque::new() }
+    }
+
+    /// Records that another node announces a version newer than `known`.
+    pub fn announce(&mut self, version: Version, known: Version, now: Time) {
+        let newest = self.announced.back().map_or(known, |(version, _)| *version);
+        if version <= newest.max(known) {
+            return;
+        }
+        if self.announced.len() >= MAX_ANNOUNCED {
+            // The oldest entry stays, since it is overdue first.
+            self.announced.pop_back();
+        }
+        self.announced.push_back((version, now));
+    }
+
+    /// Records the version in force.
+    pub fn apply(&mut self, version: Version) {
+        self.announced.retain(|(announced, _)| *announced > version);
+    }
+
+    /// Time since the oldest missing version was announced.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.announced.front().map(|(_, at)| now.since(*at))
+    }
+
+    /// Version that should be in force by now and is not.
+    #[must_use]
+    pub fn version(&self, now: Time) -> Option<Version> {
+        let (version, at) = self.announced.front()?;
+        (now.since(*at) > self.allowed).then_some(*version)
+    }
+}
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -4,19 +4,15 @@
 //! lost one. Only changes of the directory are sent incrementally; they are
 //! repeated and include the version that they build on, see [`crate::journal`].
 
-use crate::journal::Delta;
-use anyhow::{Context, Result, ensure};
-use hmac::{Hmac, Mac};
+use crate::{
+    authentication::{append_hmac, verify_hmac},
+    journal::Delta,
+};
+use anyhow::{Context, Result};
 use serde::{Deserialize, Serialize};
-use sha2::Sha256;
 use units::{Fingerprint, InstanceId, OrganisationId, Version, ZoneId};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Length of a datagram's truncated HMAC, in bytes.
-const MAC_BYTES: usize = 16;
-
-type HmacSha256 = Hmac<Sha256>;
-
 /// State of a node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -32,8 +28,12 @@
     pub leaving: bool,
     /// Version of its configuration in force.
     pub configuration: Version,
+    /// Version up to which it knows the directory.
+    pub directory_head: Version,
     /// Changes of the directory, if the node reads the store for the others.
     pub directory: Option<Delta>,
+    /// Whether its last calls of the store failed.
+    pub store_lost: bool,
     /// Whether it reached the store again so recently that entries may still be missing.
     pub store_returned: bool,
     /// Number of requests queued or recently arrived.
@@ -107,10 +107,8 @@
     /// # Errors
     /// The digest cannot be encoded.
     pub fn encode_with_hmac(&self, secret: &[u8]) -> Result<Vec<u8>> {
-        let mut bytes = postcard::to_stdvec(self).context("encoding a digest")?;
-        let code = authentication_code(secret, &bytes)?;
-        bytes.extend_from_slice(&code);
-        Ok(bytes)
+        let bytes = postcard::to_stdvec(self).context("encoding a digest")?;
+        append_hmac(bytes, secret)
     }
 
     /// Verifies the HMAC of a datagram and decodes the digest.
@@ -118,24 +116,10 @@
     /// # Errors
     /// The HMAC or the encoding is invalid.
     pub fn verify_and_decode(datagram: &[u8], secret: &[u8]) -> Result<Self> {
-        ensure!(datagram.len() > MAC_BYTES, "datagram of {} bytes is too short", datagram.len());
-        let (bytes, code) = datagram.split_at(datagram.len() - MAC_BYTES);
-        let mut mac = HmacSha256::new_from_slice(secret).context("HMAC key")?;
-        mac.update(bytes);
-        mac.verify_truncated_left(code).context("verifying the HMAC")?;
-        postcard::from_bytes(bytes).context("decoding a digest")
+        postcard::from_bytes(verify_hmac(datagram, secret)?).context("decoding a digest")
     }
 }
 
-fn authentication_code(secret: &[u8], bytes: &[u8]) -> Result<[u8; MAC_BYTES]> {
-    let mut mac = HmacSha256::new_from_slice(secret).context("HMAC key")?;
-    mac.update(bytes);
-    let full = mac.finalize().into_bytes();
-    let mut code = [0; MAC_BYTES];
-    code.copy_from_slice(&full[..MAC_BYTES]);
-    Ok(code)
-}
-
 /// Short hash of an identifier.
 #[must_use]
 pub fn short_hash(id: &str) -> u32 {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     blackboard::Blackboard,
-    journal::{Change, Delta},
+    journal::{Change, Delta, Snapshot},
 };
 use codes::Event;
 use sched::fleet::Listing;
@@ -42,6 +42,22 @@
     }
 }
 
+/// Replaces the directory by another node's, which is at least as new.
+pub fn replace(board: &Blackboard, snapshot: Snapshot) {
+    let head = snapshot.head;
+    if head < board.journal.borrow().head() {
+        return;
+    }
+    let absent = board.journal.borrow().absent_entries(&snapshot);
+    for (version, listing) in snapshot.entries {
+        upsert(board, listing, version);
+    }
+    for id in absent {
+        remove(board, &id, head);
+    }
+    board.journal.borrow_mut().advance(head, 0);
+}
+
 /// Applies changes from another node; returns whether there were any.
 pub fn merge(board: &Blackboard, delta: &Delta) -> bool {
     // The first read must come from the store: changes cannot be applied to an unknown state.
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -17,8 +17,8 @@
 use codes::Event;
 use rand::Rng;
 use slog::info;
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
-use units::{InstanceId, Time, Version};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use units::{InstanceId, Time, Version, ZoneId};
 
 /// Interval at which the nodes' rows are read; new nodes are known from their digests earlier.
 const READ_INTERVAL: Duration = Duration::from_secs(30);
@@ -87,7 +87,7 @@
 /// Maintains this node's row and reads the others.
 pub async fn run<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
     let key = format!("{NODE_ROWS}{}", board.settings.instance);
-    let address = board.settings.listen.peers.to_string();
+    let address = format!("{} {}", board.settings.listen.peers, board.settings.zone);
     let mut written = false;
     let mut silent_rows = Orphans::new();
     loop {
@@ -104,7 +104,8 @@
                     log_error(&board, "writing the secret failed", &error);
                 }
                 delete_stale_rows(&board, &*store, &mut silent_rows, &rows).await;
-                board.nodes_read.notify_one();
+                board.nodes_known.set(true);
+                board.nodes_read.notify_waiters();
             }
             Err(error) => log_error(&board, "reading the nodes' rows failed", &error),
         }
@@ -142,18 +143,26 @@
 }
 
 fn add_node(board: &Blackboard, id: &InstanceId, value: &[u8], now: Time) {
-    let address = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
-    let Some(address) = address else {
+    let Some((address, zone)) = decode_row(value) else {
         return info!(board.log, "invalid node row ignored"; Event::EntryIgnored, "node" => %id);
     };
     if *id == board.settings.instance {
         return;
     }
-    if board.roster.borrow_mut().upsert(id, address, now) {
+    let distance = zone.map(|zone| board.settings.distance(&zone));
+    if board.roster.borrow_mut().upsert(id, address, distance, now) {
         info!(board.log, "node known"; Event::MemberJoined, "node" => %id, "address" => %address);
     }
 }
 
+/// Address and availability zone in a node's row; older nodes state no zone.
+fn decode_row(value: &[u8]) -> Option<(SocketAddr, Option<ZoneId>)> {
+    let text = std::str::from_utf8(value).ok()?;
+    let mut fields = text.split(' ');
+    let address = fields.next()?.parse().ok()?;
+    Some((address, fields.next().and_then(|zone| ZoneId::new(zone).ok())))
+}
+
 async fn delete_stale_rows<S: Store>(
     board: &Blackboard,
     store: &S,
@@ -164,7 +173,7 @@
     let is_live =
         |id: &InstanceId| *id == board.settings.instance || board.roster.borrow().is_live(id, now);
     let expired = silent_rows.update(rows, is_live, now);
-    if !board.roster.borrow().is_reader(now) {
+    if !board.is_reader() {
         return;
     }
     for (key, version) in expired {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -17,7 +17,7 @@
     response,
     stream::Relay,
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use codes::{Code, Event, Executed};
 use http::{HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -30,6 +30,10 @@
 
 /// Largest buffered response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Largest body of a response that is not forwarded, in bytes; its connection is reused after that.
+const MAX_DISCARDED_BYTES: usize = 16 << 10;
+/// Time limit for such a body.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time limit for the connection attempt that tells a crashed endpoint from a broken connection.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -246,7 +250,7 @@
             Failure::NotRun(_) => Outcome::AtCapacity,
             _ => Outcome::Failed,
         });
-        if matches!(failure, Failure::NotRun(_)) && body.collect().await.is_ok() {
+        if matches!(failure, Failure::NotRun(_)) && discard(body).await {
             board.pool.release(connection, head.keep_alive, max_idle(board, accepted), board.now());
         }
         return Err(failure);
@@ -254,6 +258,26 @@
     Ok(Response { slot, connection, head, parts, body })
 }
 
+/// Reads a body that is not forwarded; true if it ended.
+async fn discard(body: Incoming) -> bool {
+    let reading = Limited::new(body, MAX_DISCARDED_BYTES).collect();
+    matches!(tokio::time::timeout(DISCARD_TIMEOUT, reading).await, Ok(Ok(_)))
+}
+
+/// Reads a body within the limits of one response and of the memory for all of them.
+async fn read_whole(board: &Blackboard, mut body: Incoming) -> Result<Bytes, Box<str>> {
+    let mut reservation = board.body_memory.reserve();
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(chunk) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
+        whole.extend_from_slice(&chunk);
+        if whole.len() > MAX_RESPONSE_BYTES || !reservation.raise(whole.len()) {
+            return Err(format!("response of more than {} bytes", whole.len()).into());
+        }
+    }
+    Ok(whole.freeze())
+}
+
 /// Maximum number of idle connections to keep per endpoint of the request's service.
 pub fn max_idle(board: &Blackboard, accepted: &admission::Request) -> u32 {
     board.max_connections(&accepted.submission.service)
@@ -350,14 +374,13 @@
 ) -> Result<http::Response<Body>, Failure> {
     let Response { mut slot, connection, head, parts, body } = received;
     let time_left = accepted.deadline.since(board.now());
-    let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-    let body = match tokio::time::timeout(time_left, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) => {
+    let body = match tokio::time::timeout(time_left, read_whole(board, body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(cause)) => {
             let address = slot.address();
             slot.release(Outcome::Failed);
             strike_if_crashed(board, accepted, address).await;
-            return Err(Failure::Lost(e.to_string().into()));
+            return Err(Failure::Lost(cause));
         }
         Err(_) => return Err(Failure::TimedOut),
     };
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -21,10 +21,10 @@
 //! * an entry is never replaced by an older version of it;
 //! * the head only increases, and only over changes that were applied.
 
-use sched::fleet::Listing;
+use sched::fleet::{Fleet, Listing};
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 use units::{EndpointId, Time, Version};
@@ -66,6 +66,15 @@
     pub changes: Box<[Change]>,
 }
 
+/// Whole directory as sent to a node that has a gap.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Version up to which the sender knows the directory.
+    pub head: Version,
+    /// Entries with their versions.
+    pub entries: Box<[(Version, Listing)]>,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Entry {
     version: Version,
@@ -189,6 +198,27 @@
         Delta { base: self.base.min(head), head, fingerprint, changes }
     }
 
+    /// Whole directory, with the listings that `fleet` holds.
+    #[must_use]
+    pub fn snapshot(&self, fleet: &Fleet) -> Snapshot {
+        let entries = self.entries.iter().filter_map(|(id, entry)| {
+            let listing = fleet.listing(id)?;
+            Some((entry.version, listing.clone()))
+        });
+        Snapshot { head: self.head, entries: entries.collect() }
+    }
+
+    /// Listed entries that a snapshot lacks although it is at least as new.
+    #[must_use]
+    pub fn absent_entries(&self, snapshot: &Snapshot) -> Vec<EndpointId> {
+        let present: BTreeSet<&EndpointId> =
+            snapshot.entries.iter().map(|(_, listing)| &listing.id).collect();
+        let absent = self.entries.iter().filter(|(id, entry)| {
+            entry.removed.is_none() && entry.version <= snapshot.head && !present.contains(id)
+        });
+        absent.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Whether the changes of a delta continue from the known head.
     fn applies(&self, delta: &Delta) -> bool {
         self.head != Version(0) && delta.base <= self.head && delta.head >= self.head
@@ -224,6 +254,12 @@
         }
     }
 
+    /// Version that a directory must have to close the gap.
+    #[must_use]
+    pub fn required(&self) -> Version {
+        self.required_base.max(self.head)
+    }
+
     /// Time at which a delta last had a higher head than this node.
     #[must_use]
     pub const fn last_advance(&self) -> Time {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,8 @@
 //!   resumes a broken stream at another endpoint where that is allowed.
 //! * [`discovery`] finds the other nodes, which are tracked in the [`roster`];
 //!   [`peers`] exchanges [`digest`]s of in-flight requests with them.
+//! * [`transfer`] passes whole documents on, so that few nodes read them from
+//!   the store.
 //! * [`watch`] follows the store's tables on a few nodes; the others learn of
 //!   changes in the endpoint [`directory`] through its [`journal`].
 //!
@@ -30,6 +32,7 @@
 //! * only complete events are forwarded, in order and exactly once.
 
 pub mod admission;
+pub mod authentication;
 pub mod blackboard;
 pub mod configuration;
 pub mod digest;
@@ -42,6 +45,7 @@
 pub mod history;
 pub mod journal;
 pub mod lifecycle;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod pool;
@@ -52,6 +56,7 @@
 pub mod serve;
 pub mod settings;
 pub mod stream;
+pub mod transfer;
 pub mod watch;
 
 pub use self::{
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -7,12 +7,12 @@
 
 use crate::{
     blackboard::{Blackboard, Phase},
-    discovery, dispatcher, peers, serve,
+    discovery, dispatcher, peers, serve, transfer,
     watch::{self, Store},
 };
 use anyhow::Result;
 use codes::Event;
-use slog::{info, warn};
+use slog::{error, info, warn};
 use std::{rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -27,6 +27,8 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Interval at which a draining node checks for the end of its last response.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Delay after which a task that panicked runs again.
+const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
 /// Interval for pruning idle connections and strikes.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the settings file is checked without a signal.
@@ -35,19 +37,21 @@
 /// Listening sockets of a node.
 #[derive(Debug)]
 struct Sockets {
-    callers: TcpListener,
-    readiness: TcpListener,
-    metrics: TcpListener,
-    peers: UdpSocket,
+    callers: Rc<TcpListener>,
+    readiness: Rc<TcpListener>,
+    metrics: Rc<TcpListener>,
+    peers: Rc<UdpSocket>,
+    transfers: Rc<TcpListener>,
 }
 
 async fn bind(board: &Blackboard) -> Result<Sockets> {
     let listen = board.settings.listen;
     Ok(Sockets {
-        callers: serve::bind(listen.callers)?,
-        readiness: serve::bind(listen.readiness)?,
-        metrics: serve::bind(listen.metrics)?,
-        peers: UdpSocket::bind(listen.peers).await?,
+        callers: Rc::new(serve::bind(listen.callers)?),
+        readiness: Rc::new(serve::bind(listen.readiness)?),
+        metrics: Rc::new(serve::bind(listen.metrics)?),
+        peers: Rc::new(UdpSocket::bind(listen.peers).await?),
+        transfers: Rc::new(serve::bind(listen.peers)?),
     })
 }
 
@@ -66,24 +70,44 @@
     let listen = board.settings.listen;
     info!(board.log, "started"; Event::Started, "callers" => %listen.callers,
         "readiness" => %listen.readiness, "metrics" => %listen.metrics, "peers" => %listen.peers);
-    spawn_local(serve::callers(Rc::clone(&board), sockets.callers));
-    spawn_local(serve::readiness(Rc::clone(&board), sockets.readiness));
-    spawn_local(serve::metrics(Rc::clone(&board), sockets.metrics));
-    spawn_local(dispatcher::run(Rc::clone(&board)));
-    spawn_local(maintain(Rc::clone(&board)));
-    spawn_local(watch::follow_configuration(Rc::clone(&board), Rc::clone(&store)));
-    spawn_local(watch::follow_endpoints(Rc::clone(&board), Rc::clone(&store)));
-    let socket = Rc::new(sockets.peers);
-    spawn_local(discovery::run(Rc::clone(&board), Rc::clone(&store)));
-    spawn_local(peers::receive(Rc::clone(&board), Rc::clone(&socket)));
-    spawn_local(peers::broadcast(Rc::clone(&board), Rc::clone(&socket)));
-    spawn_local(reload(Rc::clone(&board), changed));
+    let changed = Rc::new(changed);
+    let socket = Rc::clone(&sockets.peers);
+    supervise(&board, &sockets.callers, "callers", serve::callers);
+    supervise(&board, &sockets.readiness, "readiness", serve::readiness);
+    supervise(&board, &sockets.metrics, "metrics", serve::metrics);
+    supervise(&board, &sockets.transfers, "transfers", transfer::serve);
+    supervise(&board, &store, "discovery", discovery::run);
+    supervise(&board, &store, "configuration", watch::follow_configuration);
+    supervise(&board, &store, "endpoints", watch::follow_endpoints);
+    supervise(&board, &socket, "receive", peers::receive);
+    supervise(&board, &socket, "broadcast", peers::broadcast);
+    supervise(&board, &changed, "reload", reload);
+    supervise(&board, &Rc::new(()), "dispatcher", |board, _| dispatcher::run(board));
+    supervise(&board, &Rc::new(()), "maintenance", |board, _| maintain(board));
     signal(SignalKind::terminate())?.recv().await;
     drain(&board, &socket).await;
     info!(board.log, "stopped"; Event::Stopped, "in_progress" => board.in_progress.get());
     Ok(())
 }
 
+/// Runs a task, and again if it panics: an unexpected error in one task must end neither the process
+/// nor the task's duty.
+fn supervise<T: 'static, F: Future<Output = ()> + 'static>(
+    board: &Rc<Blackboard>,
+    resource: &Rc<T>,
+    name: &'static str,
+    task: impl Fn(Rc<Blackboard>, Rc<T>) -> F + 'static,
+) {
+    let (board, resource) = (Rc::clone(board), Rc::clone(resource));
+    spawn_local(async move {
+        while let Err(e) = spawn_local(task(Rc::clone(&board), Rc::clone(&resource))).await {
+            board.metrics.count("task_failed", name);
+            error!(board.log, "task failed"; Event::TaskFailed, "task" => name, "error" => %e);
+            tokio::time::sleep(TASK_RESTART_DELAY).await;
+        }
+    });
+}
+
 async fn drain(board: &Blackboard, socket: &UdpSocket) {
     let started = board.now();
     board.set_phase(Phase::Draining);
@@ -114,7 +138,7 @@
 }
 
 /// Checks the settings file on each signal and at intervals.
-async fn reload(board: Rc<Blackboard>, changed: impl Fn() -> Result<bool>) {
+async fn reload(board: Rc<Blackboard>, changed: Rc<impl Fn() -> Result<bool>>) {
     let mut hangups = match signal(SignalKind::hangup()) {
         Ok(hangups) => hangups,
         Err(e) => {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -56,7 +56,12 @@
     };
     let now = board.now();
     if digest.from == board.settings.instance
-        || !board.roster.borrow_mut().accept(&digest, from, &board.settings.zone, now)
+        || !board.roster.borrow_mut().accept(
+            &digest,
+            from,
+            board.settings.distance(&digest.zone),
+            now,
+        )
     {
         return;
     }
@@ -65,7 +70,9 @@
     if changed {
         dispatcher::dispatch_all(board);
     }
-    if digest.configuration > board.configuration_version() || board.journal.borrow().has_gap(now) {
+    let known = board.configuration_version();
+    board.overdue.borrow_mut().announce(digest.configuration, known, now);
+    if digest.configuration > known || board.journal.borrow().has_gap(now) {
         board.outdated.notify_waiters();
     }
 }
@@ -113,7 +120,7 @@
     let mut sent_zone = Time::ZERO;
     let mut sent_all = Time::ZERO;
     loop {
-        let intervals = board.roster.borrow().intervals(board.now());
+        let intervals = board.roster.borrow().intervals(board.is_reader());
         // Urgent changes are sent at once, everything else at the interval.
         let urgent =
             tokio::time::timeout(intervals.zone, board.broadcast_now.notified()).await.is_ok();
@@ -170,7 +177,8 @@
 
 fn build_digest(board: &Blackboard, sequence: u64) -> Digest {
     let now = board.now();
-    let is_reader = board.endpoints_read.get() && board.roster.borrow().is_reader(now);
+    let is_reader = board.endpoints_read.get() && board.is_reader();
+    let directory_head = board.journal.borrow().head();
     let fleet = board.fleet.borrow();
     let loads = fleet.usage().map(|(id, usage)| Load {
         endpoint: short_hash(id.as_str()),
@@ -200,7 +208,9 @@
         zone: board.settings.zone.clone(),
         leaving: false,
         configuration: board.configuration_version(),
+        directory_head,
         directory: is_reader.then(|| board.journal.borrow_mut().delta(now)),
+        store_lost: board.is_store_lost(),
         store_returned: board
             .store_returned
             .get()
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -3,9 +3,14 @@
 //! A few nodes, chosen by rendezvous hashing over the live ones, read the store
 //! on behalf of all; see [`crate::watch`].
 
-use crate::digest::{Digest, Waiting, short_hash};
+use crate::{
+    digest::{Digest, Waiting, short_hash},
+    transfer::Kind,
+};
+use rand::seq::IndexedRandom;
+use sched::fleet::Distance;
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
-use units::{InstanceId, ServiceId, Time, Version, ZoneId};
+use units::{InstanceId, ServiceId, Time, Version};
 
 /// Shortest interval between digests: a tenth of the time for which a stream holds its slot.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -26,6 +31,11 @@
 /// Minimum and maximum number of nodes that read the store; each makes two calls per second. With
 /// four readers among 100 nodes, new configurations reached a node too late.
 const READER_RANGE: (usize, usize) = (4, 8);
+/// Minimum number of nodes of one region that read the store, so that one may be frozen.
+const MIN_REGION_READERS: usize = 2;
+/// Time for which a node that is known only from its row counts as a candidate for reading the
+/// store. All nodes may start at the same time.
+const PRESUMED_LIVE: Duration = Duration::from_millis(1_500);
 /// Number of nodes per reader between these limits.
 const NODES_PER_READER: usize = 12;
 /// Key for choosing the readers by rendezvous hashing.
@@ -34,11 +44,14 @@
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
-    same_zone: bool,
+    /// Distance of its zone; unknown for an older row without a zone.
+    distance: Option<Distance>,
     demand: u32,
     waiting: Box<[Waiting]>,
     configuration: Version,
+    directory_head: Version,
     is_reader: bool,
+    store_lost: bool,
     store_returned: bool,
     incarnation: u64,
     sequence: u64,
@@ -50,6 +63,22 @@
     fn last_seen(&self) -> Time {
         self.last_digest.unwrap_or(self.known_since)
     }
+
+    fn is_same_zone(&self) -> bool {
+        self.distance == Some(Distance::SameZone)
+    }
+
+    fn is_same_region(&self) -> bool {
+        matches!(self.distance, Some(Distance::SameZone | Distance::SameRegion))
+    }
+
+    /// Version of a document that it has.
+    fn version(&self, kind: Kind) -> Version {
+        match kind {
+            Kind::Configuration => self.configuration,
+            Kind::Directory => self.directory_head,
+        }
+    }
 }
 
 /// State reported by the other live nodes.
@@ -75,9 +104,10 @@
     MIN_INTERVAL.max(INTERVAL_PER_NODE * nodes)
 }
 
-/// Number of nodes that read the store.
-fn reader_count(nodes: usize) -> usize {
-    (nodes / NODES_PER_READER).clamp(READER_RANGE.0, READER_RANGE.1)
+/// Number of nodes of one region that read the store.
+fn readers_per_region(nodes: usize, regions: usize) -> usize {
+    let all = (nodes / NODES_PER_READER).clamp(READER_RANGE.0, READER_RANGE.1);
+    all.div_ceil(regions).max(MIN_REGION_READERS)
 }
 
 /// This node's share of the demand.
@@ -93,6 +123,7 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     instance: Option<InstanceId>,
+    regions: usize,
     peers: HashMap<InstanceId, Peer>,
     /// Secret that authenticates datagrams.
     pub secret: Option<Box<[u8]>>,
@@ -105,6 +136,13 @@
         Self { instance: Some(instance), ..Self::default() }
     }
 
+    /// Sets the number of regions, each of which has readers of its own.
+    #[must_use]
+    pub fn with_regions(mut self, regions: usize) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Whether another node and the secret for exchanging digests are known.
     #[must_use]
     pub fn is_joined(&self) -> bool {
@@ -137,19 +175,28 @@
     }
 
     /// Adds a node or updates its address; returns whether anything changed.
-    pub fn upsert(&mut self, id: &InstanceId, address: SocketAddr, now: Time) -> bool {
+    pub fn upsert(
+        &mut self,
+        id: &InstanceId,
+        address: SocketAddr,
+        distance: Option<Distance>,
+        now: Time,
+    ) -> bool {
         if let Some(peer) = self.peers.get_mut(id) {
             let moved = peer.address != address;
             peer.address = address;
+            peer.distance = distance.or(peer.distance);
             return moved;
         }
         let peer = Peer {
             address,
-            same_zone: false,
+            distance,
             demand: 0,
             waiting: Box::default(),
             configuration: Version(0),
+            directory_head: Version(0),
             is_reader: false,
+            store_lost: false,
             store_returned: false,
             incarnation: 0,
             sequence: 0,
@@ -161,8 +208,14 @@
     }
 
     /// Records a digest and returns true if it is newer than the last one from its node.
-    pub fn accept(&mut self, digest: &Digest, from: SocketAddr, zone: &ZoneId, now: Time) -> bool {
-        self.upsert(&digest.from, from, now);
+    pub fn accept(
+        &mut self,
+        digest: &Digest,
+        from: SocketAddr,
+        distance: Distance,
+        now: Time,
+    ) -> bool {
+        self.upsert(&digest.from, from, Some(distance), now);
         let Some(peer) = self.peers.get_mut(&digest.from) else { return false };
         // After a long silence, a smaller incarnation belongs to a restart with the clock set back.
         let silent = peer.last_digest.is_some_and(|at| now.since(at) > LIVENESS_TIMEOUT * 2);
@@ -173,20 +226,21 @@
         peer.incarnation = digest.incarnation;
         peer.sequence = digest.sequence;
         peer.last_digest = Some(now);
-        peer.same_zone = digest.zone == *zone;
         peer.demand = digest.demand;
         peer.waiting.clone_from(&digest.waiting);
         peer.configuration = digest.configuration;
+        peer.directory_head = digest.directory_head;
         peer.is_reader = digest.directory.is_some();
+        peer.store_lost = digest.store_lost;
         peer.store_returned = digest.store_returned;
         true
     }
 
     /// Intervals of this node's digests.
     #[must_use]
-    pub fn intervals(&self, now: Time) -> Intervals {
+    pub fn intervals(&self, is_reader: bool) -> Intervals {
         let all = interval(self.node_count());
-        let all = if self.is_reader(now) { all.min(MAX_READER_INTERVAL) } else { all };
+        let all = if is_reader { all.min(MAX_READER_INTERVAL) } else { all };
         let zone = interval(self.zone_node_count());
         Intervals { zone, all: all.max(zone) }
     }
@@ -198,12 +252,13 @@
     }
 
     fn live_peers(&self, now: Time) -> impl Iterator<Item = (&InstanceId, &Peer)> {
-        let timeout = self.liveness_timeout();
-        let is_live = move |peer: &Peer| {
-            let limit = if peer.same_zone || peer.is_reader { LIVENESS_TIMEOUT } else { timeout };
-            peer.last_digest.is_some_and(|at| now.since(at) < limit)
-        };
-        self.peers.iter().filter(move |(_, peer)| is_live(peer))
+        self.peers.iter().filter(move |(_, peer)| self.is_peer_live(peer, now))
+    }
+
+    fn is_peer_live(&self, peer: &Peer, now: Time) -> bool {
+        let is_frequent = peer.is_same_zone() || peer.is_reader;
+        let limit = if is_frequent { LIVENESS_TIMEOUT } else { self.liveness_timeout() };
+        peer.last_digest.is_some_and(|at| now.since(at) < limit)
     }
 
     /// Newest state reported by the other live nodes.
@@ -218,13 +273,49 @@
     }
 
     /// Whether this node reads the store for the others.
+    ///
+    /// The readers of a region are its first nodes by rendezvous hashing. Those that have lost the
+    /// store keep trying, and the next nodes that have not lost it read in their place.
+    /// `store_lost` tells whether this node has lost it.
     #[must_use]
-    pub fn is_reader(&self, now: Time) -> bool {
+    pub fn is_reader(&self, store_lost: bool, now: Time) -> bool {
         let score = |id: &InstanceId| units::score(id.as_str(), READER_KEY);
         let Some(instance) = &self.instance else { return true };
         let mine = score(instance);
-        self.live_peers(now).filter(|(id, _)| score(id) > mine).count()
-            < reader_count(self.node_count())
+        let readers = readers_per_region(self.node_count(), self.regions.max(1));
+        let ahead = |counts: &dyn Fn(&Peer) -> bool| {
+            let region = self.peers.iter().filter(|(_, peer)| peer.is_same_region());
+            region.filter(|(id, peer)| counts(peer) && score(id) > mine).count()
+        };
+        let is_candidate = |peer: &Peer| {
+            let unheard = peer.last_digest.is_none();
+            self.is_peer_live(peer, now) || unheard && now.since(peer.known_since) < PRESUMED_LIVE
+        };
+        ahead(&is_candidate) < readers
+            || !store_lost && ahead(&|peer| is_candidate(peer) && !peer.store_lost) < readers
+    }
+
+    /// Live node that has a document of at least a version, or that reads the store if none is
+    /// given; not one of `tried`. Nodes of the same region come first.
+    #[must_use]
+    pub fn source(
+        &self,
+        kind: Kind,
+        min_version: Option<Version>,
+        tried: &[SocketAddr],
+        now: Time,
+    ) -> Option<SocketAddr> {
+        let has_document = |peer: &Peer| match min_version {
+            Some(version) => peer.version(kind) >= version,
+            None => peer.version(kind) > Version(0) && peer.is_reader && !peer.store_lost,
+        };
+        let sources = self
+            .live_peers(now)
+            .filter(|(_, peer)| has_document(peer) && !tried.contains(&peer.address));
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
+            sources.map(|(_, peer)| peer).partition(|peer| peer.is_same_region());
+        let candidates = if near.is_empty() { far } else { near };
+        candidates.choose(&mut rand::rng()).map(|peer| peer.address)
     }
 
     /// Total of the requests waiting for a service at other nodes.
@@ -249,7 +340,7 @@
         for (_, peer) in self.live_peers(now) {
             let theirs = f64::from(peer.demand.max(1));
             all += theirs;
-            if peer.same_zone {
+            if peer.is_same_zone() {
                 zone += theirs;
             }
         }
@@ -281,14 +372,14 @@
     /// Addresses of the nodes in the zone, or of all.
     #[must_use]
     pub fn addresses(&self, all: bool) -> Vec<SocketAddr> {
-        let recipients = self.peers.values().filter(|peer| all || peer.same_zone);
+        let recipients = self.peers.values().filter(|peer| all || peer.is_same_zone());
         recipients.map(|peer| peer.address).collect()
     }
 
     /// Number of nodes that exchange digests at the interval of the zone, including this one.
     #[must_use]
     pub fn zone_node_count(&self) -> usize {
-        let in_zone = self.peers.values().filter(|peer| peer.same_zone).count();
+        let in_zone = self.peers.values().filter(|peer| peer.is_same_zone()).count();
         1 + if self.is_small() { self.peers.len() } else { in_zone }
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -45,7 +45,7 @@
 }
 
 /// Accepts callers' connections until the process exits.
-pub async fn callers(board: Rc<Blackboard>, listener: TcpListener) {
+pub async fn callers(board: Rc<Blackboard>, listener: Rc<TcpListener>) {
     let open = Rc::new(Cell::new(0_u32));
     let max_open = board.settings.descriptors / CALLER_DESCRIPTOR_DIVISOR;
     loop {
@@ -118,7 +118,7 @@
 }
 
 /// Answers readiness checks until the process exits.
-pub async fn readiness(board: Rc<Blackboard>, listener: TcpListener) {
+pub async fn readiness(board: Rc<Blackboard>, listener: Rc<TcpListener>) {
     let reported = Cell::new(false);
     serve_page(board, listener, move |board| {
         let ready = board.is_ready();
@@ -134,7 +134,7 @@
 }
 
 /// Serves the metrics until the process exits.
-pub async fn metrics(board: Rc<Blackboard>, listener: TcpListener) {
+pub async fn metrics(board: Rc<Blackboard>, listener: Rc<TcpListener>) {
     serve_page(board, listener, |board| {
         let gauge = |name, value| board.metrics.set_gauge(name, value);
         gauge("in_progress", board.in_progress.get() as u64);
@@ -150,7 +150,7 @@
 /// Serves the same page for every path.
 async fn serve_page(
     board: Rc<Blackboard>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     render: impl Fn(&Blackboard) -> (StatusCode, String) + 'static,
 ) {
     let render = Rc::new(render);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -1,7 +1,11 @@
 //! Validated settings of a node.
 
 use sched::{budget::Bound, fleet::Distance};
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 use units::{InstanceId, RegionId, ZoneId};
 
 /// Settings of a node.
@@ -19,6 +23,8 @@
     pub repeats: Bound,
     /// Time from the stop signal until the process must exit.
     pub grace: Duration,
+    /// Time after which a new configuration must be in force at every node.
+    pub apply_time: Duration,
     /// Memory limit of the process, in bytes.
     pub memory: u64,
     /// Limit of open file descriptors.
@@ -39,6 +45,12 @@
 }
 
 impl Settings {
+    /// Number of regions.
+    #[must_use]
+    pub fn region_count(&self) -> usize {
+        self.regions.values().collect::<HashSet<_>>().len().max(1)
+    }
+
     /// Distance to an availability zone; an unknown zone counts as another region.
     #[must_use]
     pub fn distance(&self, zone: &ZoneId) -> Distance {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -7,14 +7,21 @@
 //!
 //! Only a few nodes, the readers that [`crate::roster`] chooses, follow the
 //! store. In their digests they state the version of their configuration and
-//! send changes of the directory ([`crate::journal`]). Other nodes read a table
-//! only if there is a newer configuration, or if they missed changes.
+//! send changes of the directory ([`crate::journal`]). Other nodes that lack a
+//! newer configuration or missed changes get the whole document from a node
+//! that has it ([`crate::transfer`]), and read the store only if none sends it
+//! in time.
 //!
 //! Endpoints' entries may expire while the store is unavailable and are written
 //! again shortly after its return. An entry that disappears around that time
 //! stays in use for another `REAPPEARANCE_TIME`.
 
-use crate::{blackboard::Blackboard, configuration::Configuration, directory, dispatcher};
+use crate::{
+    blackboard::Blackboard,
+    configuration::Configuration,
+    directory, dispatcher,
+    transfer::{self, Document, Kind},
+};
 use anyhow::Result;
 use bytes::Bytes;
 use codes::Event;
@@ -50,6 +57,10 @@
 /// Longest time without new versions from readers before a node reads the store itself; every
 /// heartbeat of an endpoint increases the store's version.
 const READER_SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which a node asks other nodes for a document before it reads the store.
+const STORE_FALLBACK: Duration = Duration::from_millis(1_200);
+/// Delay between attempts to get a document from other nodes.
+const FETCH_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Time after the store's return in which expired entries may reappear.
 pub const REAPPEARANCE_TIME: Duration = Duration::from_millis(2_200);
 
@@ -157,6 +168,15 @@
     pub complete: bool,
 }
 
+/// What a follower has obtained.
+#[derive(Debug)]
+enum Next {
+    /// Rows of the store.
+    Rows(Update),
+    /// Document of another node.
+    Document(Document),
+}
+
 /// Reads a whole table.
 ///
 /// # Errors
@@ -194,6 +214,8 @@
     reachable: bool,
     backoff: Duration,
     last_read: Time,
+    /// Time since which the node lacks something that other nodes have.
+    behind_since: Option<Time>,
 }
 
 impl Follower {
@@ -205,15 +227,18 @@
             reachable: true,
             backoff: MIN_BACKOFF,
             last_read: Time::ZERO,
+            behind_since: None,
         }
     }
 
     /// Next update; retries after failures.
-    async fn next<S: Store>(&mut self, board: &Blackboard, store: &S) -> Update {
+    async fn next<S: Store>(&mut self, board: &Blackboard, store: &S) -> Next {
         loop {
             self.skip_to_journal_head(board);
+            let is_behind = self.is_behind(board);
+            let follows = board.is_reader() && !(is_behind && board.is_store_lost());
             let result = match self.position {
-                Position::Following(after) if board.roster.borrow().is_reader(board.now()) => {
+                Position::Following(after) if follows => {
                     let followed = store.follow(self.table, after, self.wait).await;
                     followed.map(|page| Update {
                         rows: page.rows,
@@ -221,13 +246,21 @@
                         complete: false,
                     })
                 }
-                Position::Following(_) if !self.is_behind(board) => {
+                Position::Following(_) if !is_behind => {
                     // Wakes up on an update or when the role must be checked again.
                     let outdated = board.outdated.notified();
                     tokio::time::timeout(ROLE_CHECK_INTERVAL, outdated).await.ok();
                     continue;
                 }
                 Position::Following(min_version) | Position::Unread(min_version) => {
+                    if self.asks_nodes(board) {
+                        if let Some(document) = self.fetch(board).await {
+                            self.behind_since = None;
+                            return Next::Document(document);
+                        }
+                        tokio::time::sleep(FETCH_RETRY_DELAY).await;
+                        continue;
+                    }
                     // A node that stays behind, whatever the store returns, must not poll without a
                     // delay.
                     let delay = MIN_BACKOFF.saturating_sub(board.now().since(self.last_read));
@@ -242,14 +275,57 @@
             match result {
                 Ok(update) => {
                     self.position = Position::Following(update.version);
+                    self.behind_since = None;
                     self.record_success(board);
-                    return update;
+                    return Next::Rows(update);
                 }
                 Err(error) => self.record_error(board, &error).await,
             }
         }
     }
 
+    /// Whether the whole document is requested from other nodes rather than from the store.
+    fn asks_nodes(&mut self, board: &Blackboard) -> bool {
+        let now = board.now();
+        let since = *self.behind_since.get_or_insert(now);
+        if board.is_store_lost() {
+            return board.roster.borrow().live_count(now) > 0;
+        }
+        !board.is_reader() && now.since(since) < STORE_FALLBACK
+    }
+
+    /// Document of another node that is newer than what this node has.
+    async fn fetch(&mut self, board: &Blackboard) -> Option<Document> {
+        let now = board.now();
+        let (kind, newest) = match self.table {
+            Table::Configuration => {
+                let newest = board.roster.borrow().observed(now).configuration;
+                (Kind::Configuration, newest.max(Version(board.configuration_version().get() + 1)))
+            }
+            Table::Endpoints => (Kind::Directory, board.journal.borrow().required()),
+            Table::Nodes => return None,
+        };
+        let is_first = matches!(self.position, Position::Unread(_));
+        let min_version = (!is_first).then_some(newest);
+        board.roster.borrow().source(kind, min_version, &[], now)?;
+        match transfer::fetch(board, kind, min_version).await {
+            Ok(document) => {
+                if is_first {
+                    // A reader that has no position in the table's history reads all of it.
+                    self.position = Position::Following(Version(0));
+                }
+                Some(document)
+            }
+            Err(e) => {
+                board.metrics.count("transfer", "failed");
+                info!(board.log, "document not received"; Event::TransferFailed,
+                    "kind" => format!("{kind:?}"), "version" => newest.get(),
+                    "error" => format!("{e:#}"));
+                None
+            }
+        }
+    }
+
     /// Whether another node has newer data, or this node received no update for too long.
     fn is_behind(&self, board: &Blackboard) -> bool {
         let now = board.now();
@@ -272,6 +348,7 @@
 
     fn record_success(&mut self, board: &Blackboard) {
         self.backoff = MIN_BACKOFF;
+        board.store_failed.set(None);
         if !self.reachable {
             self.reachable = true;
             board.store_returned.set(Some(board.now()));
@@ -289,6 +366,12 @@
             self.position = Position::Unread(seen);
             return;
         }
+        let was_lost = board.is_store_lost();
+        board.store_failed.set(Some(board.now()));
+        if !was_lost {
+            // The next nodes read the store in place of this one once they know.
+            board.broadcast_now.notify_one();
+        }
         if self.reachable {
             self.reachable = false;
             info!(board.log, "store lost"; Event::StoreDown,
@@ -306,24 +389,38 @@
     }
 }
 
-/// Follows the configuration and activates new versions.
-///
-/// Waits for the nodes' rows first: a node that has just started would otherwise assume that it is
-/// alone, and grant every organisation's full quota by itself.
-pub async fn follow_configuration<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
-    if tokio::time::timeout(NODES_READ_TIMEOUT, board.nodes_read.notified()).await.is_err() {
+/// Waits for the nodes' rows. A node that has just started would otherwise assume that it is alone:
+/// it would grant every organisation's full quota by itself, and read the store like a reader.
+async fn wait_for_nodes(board: &Blackboard) {
+    let known = async {
+        while !board.nodes_known.get() {
+            board.nodes_read.notified().await;
+        }
+    };
+    if tokio::time::timeout(NODES_READ_TIMEOUT, known).await.is_err() {
         warn!(board.log, "timed out waiting for the nodes' rows"; Event::StoreDown,
             "table" => "Nodes");
     }
+}
+
+/// Follows the configuration and activates new versions.
+pub async fn follow_configuration<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
+    wait_for_nodes(&board).await;
     let mut follower = Follower::new(Table::Configuration, CONFIGURATION_POLL_WAIT);
     loop {
-        let Update { rows, .. } = follower.next(&board, &*store).await;
-        let empty = rows.is_empty();
-        for value in rows.into_iter().filter_map(|row| row.value) {
-            match store.decode_configuration(&value) {
-                Ok(configuration) => activate(&board, configuration),
-                Err(e) => warn!(board.log, "configuration ignored"; Event::ConfigIgnored,
-                    "error" => format!("{e:#}")),
+        let values = match follower.next(&board, &*store).await {
+            Next::Document(document) => vec![(document.content().map(Bytes::from), Some(document))],
+            Next::Rows(update) => {
+                let values = update.rows.into_iter().filter_map(|row| row.value);
+                values.map(|value| (Ok(value), None)).collect()
+            }
+        };
+        let empty = values.is_empty();
+        for (value, document) in values {
+            let activated = value.and_then(|value| activate(&board, &*store, &value, document));
+            if let Err(e) = activated {
+                warn!(board.log, "configuration ignored"; Event::ConfigIgnored,
+                    "error" => format!("{e:#}"));
             }
         }
         if empty && board.configuration.borrow().is_none() {
@@ -332,32 +429,52 @@
     }
 }
 
-fn activate(board: &Blackboard, configuration: Configuration) {
+/// Puts a configuration in force if it is newer; `document` is what another node sent.
+fn activate<S: Store>(
+    board: &Blackboard,
+    store: &S,
+    value: &[u8],
+    document: Option<Document>,
+) -> Result<()> {
+    let configuration = store.decode_configuration(value)?;
+    let version = configuration.version;
     let before = board.configuration.borrow().as_ref().map(|known| known.version);
-    if before.is_some_and(|known| known >= configuration.version) {
-        return;
+    if before.is_some_and(|known| known >= version) {
+        return Ok(());
     }
     info!(board.log, "configuration in force"; Event::ConfigInForce,
-        "version" => configuration.version.get(), "before" => before.map(Version::get),
-        "routes" => configuration.len());
+        "version" => version.get(), "before" => before.map(Version::get),
+        "routes" => configuration.len(), "from_node" => document.is_some(),
+        "announced_ms" => board.overdue.borrow().age(board.now()).map(crate::reply::millis));
     *board.configuration.borrow_mut() = Some(Rc::new(configuration));
+    board.overdue.borrow_mut().apply(version);
+    let document = document.map_or_else(|| Document::new(version, value), Ok)?;
+    board.library.borrow_mut().set_configuration(document);
     notify_peers(board);
+    Ok(())
 }
 
 /// Triggers an immediate digest if this node reads the store for the others.
 fn notify_peers(board: &Blackboard) {
-    if board.roster.borrow().is_reader(board.now()) {
+    if board.is_reader() {
         board.broadcast_now.notify_one();
     }
 }
 
 /// Follows the directory of endpoints.
 pub async fn follow_endpoints<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
+    wait_for_nodes(&board).await;
     let mut follower = Follower::new(Table::Endpoints, ENDPOINTS_POLL_WAIT);
     let mut missing: BTreeMap<EndpointId, Missing> = BTreeMap::new();
     loop {
         let started = board.now();
-        let update = follower.next(&board, &*store).await;
+        let update = match follower.next(&board, &*store).await {
+            Next::Rows(update) => update,
+            Next::Document(document) => {
+                replace_directory(&board, &document);
+                continue;
+            }
+        };
         let now = board.now();
         let change_count = board.journal.borrow().change_count();
         for (id, version) in apply_update(&board, &*store, update) {
@@ -381,13 +498,26 @@
         }
         board.endpoints_read.set(true);
         dispatcher::dispatch_all(&board);
-        let is_reader = board.roster.borrow().is_reader(now);
-        let interval = if is_reader { READER_POLL_INTERVAL } else { NON_READER_POLL_INTERVAL };
+        let interval =
+            if board.is_reader() { READER_POLL_INTERVAL } else { NON_READER_POLL_INTERVAL };
         let delay = interval.saturating_sub(board.now().since(started));
         tokio::time::sleep(delay).await;
     }
 }
 
+/// Takes over the directory of another node.
+fn replace_directory(board: &Rc<Blackboard>, document: &Document) {
+    match transfer::decode_directory(document) {
+        Ok(snapshot) => {
+            directory::replace(board, snapshot);
+            board.endpoints_read.set(true);
+            dispatcher::dispatch_all(board);
+        }
+        Err(e) => warn!(board.log, "directory ignored"; Event::EntryIgnored,
+            "error" => format!("{e:#}")),
+    }
+}
+
 /// Entry that is no longer in the store.
 struct Missing {
     since: Time,
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -7,6 +7,7 @@
     journal::Delta,
     roster::{Observed, Roster},
 };
+use sched::fleet::Distance;
 use std::{net::SocketAddr, time::Duration};
 use units::{InstanceId, OrganisationId, Time, Version, ZoneId};
 
@@ -18,7 +19,9 @@
         zone: ZoneId::new(zone).unwrap(),
         leaving: false,
         configuration: Version(3),
+        directory_head: Version(5),
         directory: Some(Delta::default()),
+        store_lost: false,
         store_returned: false,
         demand: 10,
         waiting: Box::default(),
@@ -41,7 +44,12 @@
 }
 
 fn receive(roster: &mut Roster, digest: &Digest, now: Time) -> bool {
-    roster.accept(digest, address(), &ZoneId::new("a").unwrap(), now)
+    let distance = match digest.zone.as_str() {
+        "a" => Distance::SameZone,
+        "b" => Distance::SameRegion,
+        _ => Distance::CrossRegion,
+    };
+    roster.accept(digest, address(), distance, now)
 }
 
 #[test]
@@ -108,7 +116,7 @@
             for other in alive.iter().filter(|other| *other != *me) {
                 receive(&mut roster, &digest(other, "a", 1), now);
             }
-            roster.is_reader(now)
+            roster.is_reader(false, now)
         };
         alive.iter().filter(reads).cloned().collect()
     };
@@ -124,7 +132,7 @@
             "{nodes} nodes, of which the first readers are lost"
         );
     }
-    assert!(roster("alone").is_reader(now));
+    assert!(roster("alone").is_reader(false, now));
 }
 
 #[test]
@@ -137,3 +145,62 @@
     assert!((shares.zone - 0.25).abs() < 1e-9);
     assert!((shares.all - 0.1).abs() < 1e-9);
 }
+
+/// Six of seven nodes lose the store: the one that reaches it reads, whatever its rank. The first
+/// nodes keep trying, and the others stop.
+#[test]
+fn node_that_reaches_the_store_replaces_the_readers() {
+    let now = Time::from_millis(1_000);
+    let names: Vec<String> = (0..7).map(|number| format!("n-{number}")).collect();
+    for reaching in &names {
+        let reads = |me: &String| {
+            let mut roster = roster(me);
+            for other in names.iter().filter(|other| *other != me) {
+                let lost = Digest { store_lost: other != reaching, ..digest(other, "a", 1) };
+                receive(&mut roster, &lost, now);
+            }
+            roster.is_reader(me != reaching, now)
+        };
+        assert!(reads(reaching), "{reaching}");
+        let others = names.iter().filter(|name| *name != reaching && reads(name)).count();
+        assert!((3..=4).contains(&others), "{others} keep trying");
+    }
+}
+
+/// Each region has readers of its own, so that a document crosses the link between regions only a
+/// few times.
+#[test]
+fn each_region_has_readers() {
+    let now = Time::from_millis(1_000);
+    let names: Vec<String> = (0..300).map(|number| format!("n-{number}")).collect();
+    let zone = |number: usize| if number < 150 { "a" } else { "c" };
+    let reads = |number: &usize| {
+        let mut roster = roster(&names[*number]).with_regions(2);
+        for other in (0..300).filter(|other| other != number) {
+            let same = zone(other) == zone(*number);
+            let digest = digest(&names[other], if same { "a" } else { "c" }, 1);
+            receive(&mut roster, &digest, now);
+        }
+        roster.is_reader(false, now)
+    };
+    assert_eq!((0..150).filter(reads).count(), 4);
+    assert_eq!((150..300).filter(reads).count(), 4);
+}
+
+/// All nodes start at once: those that know the others from their rows only do not all read.
+#[test]
+fn nodes_that_start_together_do_not_all_read() {
+    let now = Time::from_millis(1_000);
+    let names: Vec<String> = (0..60).map(|number| format!("n-{number}")).collect();
+    let reads = |me: &&String, at: Time| {
+        let mut roster = roster(me);
+        for other in names.iter().filter(|other| other != me) {
+            let id = InstanceId::new(other).unwrap();
+            roster.upsert(&id, address(), Some(Distance::SameZone), now);
+        }
+        roster.is_reader(false, at)
+    };
+    assert_eq!(names.iter().filter(|me| reads(me, now)).count(), 5);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(names.iter().filter(|me| reads(me, later)).count(), 60, "the others may be gone");
+}
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -164,6 +164,12 @@
         self.endpoints.get(id).map(|endpoint| endpoint.listing.address)
     }
 
+    /// Listing of an endpoint.
+    #[must_use]
+    pub fn listing(&self, id: &EndpointId) -> Option<&Listing> {
+        self.endpoints.get(id).map(|endpoint| &endpoint.listing)
+    }
+
     /// Whether the service has an endpoint that is not leaving.
     #[must_use]
     pub fn has_endpoint_for(&self, service: &ServiceId) -> bool {
