--- a/crates/fake-host/src/testbed.rs
+++ b/crates/fake-host/src/testbed.rs
@@ -9,6 +9,8 @@
     time::{Duration, Instant},
 };
 
+/// Number of a node's last lines in an error.
+const SHOWN_LINES: usize = 30;
 /// Longest wait for a readiness status.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -134,5 +136,10 @@
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    bail!("the readiness check did not return {status} within {READY_TIMEOUT:?}")
+    let output = node.output();
+    let last = &output[output.len().saturating_sub(SHOWN_LINES)..];
+    bail!(
+        "the readiness check did not return {status} within {READY_TIMEOUT:?}; last lines:\n{}",
+        last.join("\n")
+    )
 }
