--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -302,6 +302,13 @@
         self.with_budget(service, |budget| budget.try_retry(nodes, now))
     }
 
+    /// Whether the service's budget has a retry left.
+    pub fn has_retry(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let nodes = self.roster.borrow().node_count();
+        self.with_budget(service, |budget| budget.has_retry(nodes, now))
+    }
+
     fn with_budget<T>(&self, service: &ServiceId, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.retry_budgets.borrow_mut();
         let bound = self.settings.repeats;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -27,8 +27,8 @@
 
 /// Longest time without a digest to nodes in the same zone; a fifth of the liveness timeout.
 const MAX_QUIET_TIME: Duration = Duration::from_millis(500);
-/// Largest datagram that is read, in bytes; digests take under 1 KB today.
-const MAX_DATAGRAM: usize = 8 * 1024;
+/// Largest datagram that is read, in bytes. A confirmation of 200 permits takes 8 KB.
+const MAX_DATAGRAM: usize = 64 * 1024;
 /// Maximum number of strikes in a digest; few requests crash endpoints at the same time.
 const MAX_STRIKES: usize = 16;
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -317,11 +317,12 @@
         Interrupted(cause)
     }
 
-    /// Moves a silent stream to another endpoint if the route's number of attempts allows it.
-    /// Otherwise keeps waiting, because silence alone does not end a response. A move that finds
-    /// the retry budget empty or no endpoint does end it.
+    /// Moves a silent stream to another endpoint if the route's number of attempts and the retry
+    /// budget allow it. Otherwise keeps waiting, because silence alone does not end a response. A
+    /// move that finds no endpoint does end it.
     fn handle_silence(&mut self) -> Result<(), Interrupted> {
-        if self.history.may_run_again(&self.accepted) {
+        let has_retry = self.board.has_retry(&self.accepted.submission.service);
+        if has_retry && self.history.may_run_again(&self.accepted) {
             return self.resume("silent".into());
         }
         self.ignore_silence = true;
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -53,17 +53,22 @@
 
     /// Whether a request may be retried; counts the retry if so. `nodes` share the bound.
     pub fn try_retry(&mut self, nodes: usize, now: Time) -> bool {
+        let has_retry = self.has_retry(nodes, now);
+        if has_retry {
+            self.current(now).retries += 1;
+        }
+        has_retry
+    }
+
+    /// Whether a request may be retried. `nodes` share the bound.
+    pub fn has_retry(&mut self, nodes: usize, now: Time) -> bool {
         self.current(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         #[allow(clippy::cast_precision_loss, reason = "node counts are small")]
         let burst = self.bound.burst / nodes.max(1) as f64;
         let allowed = MARGIN * (self.bound.ratio * f64::from(requests) + burst);
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.current(now).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= allowed
     }
 
     fn current(&mut self, now: Time) -> &mut Bucket {
--- a/crates/sched/tests/budget.rs
+++ b/crates/sched/tests/budget.rs
@@ -51,3 +51,17 @@
     assert!(!budget.try_retry(1, now + Duration::from_secs(5)));
     assert!(budget.try_retry(1, now + Duration::from_secs(12)));
 }
+
+/// A stream that is silent is moved only if there is a retry for it; asking takes none.
+#[test]
+fn asking_for_a_retry_takes_none() {
+    let mut budget = Budget::new(BOUND);
+    let now = Time::from_millis(1_000);
+    let mut taken = 0;
+    while budget.has_retry(1, now) && budget.has_retry(1, now) {
+        assert!(budget.try_retry(1, now));
+        taken += 1;
+    }
+    assert!(taken > 10, "{taken}");
+    assert!(!budget.try_retry(1, now));
+}
