--- a/crates/relay/src/holder.rs
+++ b/crates/relay/src/holder.rs
@@ -144,46 +144,31 @@
         board.permits.borrow_mut().pending.insert(request, sender.clone());
         guard.asked.push(address);
         let mut unanswered = 0;
-        let mut wait = RESPONSE_TIMEOUT;
+        let mut is_queued = false;
         while unanswered < MAX_UNANSWERED {
-            board.send_message(address, message(submission, avoid, board.now()));
-            let Ok(response) = tokio::time::timeout(wait, responses.recv()).await else {
-                if board.now() > submission.deadlines.hard + REFUSAL_MARGIN {
-                    return Some(Err(Refusal {
-                        code: Code::DeadlineUnmeetable,
-                        wait: Duration::ZERO,
-                    }));
-                }
-                unanswered += 1;
-                wait = RESPONSE_TIMEOUT;
-                continue;
-            };
-            match response {
-                Some(Response::Queued) => {
+            if !is_queued {
+                board.send_message(address, message(submission, avoid, board.now()));
+            }
+            let wait = if is_queued { RECHECK_INTERVAL } else { RESPONSE_TIMEOUT };
+            match tokio::time::timeout(wait, responses.recv()).await {
+                Ok(Some(Response::Queued)) => {
                     unanswered = 0;
-                    wait = RECHECK_INTERVAL;
-                    // The message that was answered need not be repeated at once.
-                    let next = tokio::time::timeout(wait, responses.recv()).await;
-                    match next {
-                        Ok(Some(Response::Granted(owner, grant))) => {
-                            return take(board, submission, owner, grant).map(Ok);
-                        }
-                        Ok(Some(Response::Refused(refusal))) => {
-                            guard.finish();
-                            return Some(Err(refusal));
-                        }
-                        Ok(Some(Response::Queued) | None) | Err(_) => {}
-                    }
-                    wait = RESPONSE_TIMEOUT;
+                    is_queued = true;
                 }
-                Some(Response::Granted(owner, grant)) => {
+                Ok(Some(Response::Granted(owner, grant))) => {
                     return take(board, submission, owner, grant).map(Ok);
                 }
-                Some(Response::Refused(refusal)) => {
+                Ok(Some(Response::Refused(refusal))) => {
                     guard.finish();
                     return Some(Err(refusal));
                 }
-                None => return None,
+                Ok(None) => return None,
+                Err(_) if board.now() > submission.deadlines.hard + REFUSAL_MARGIN => {
+                    let wait = Duration::ZERO;
+                    return Some(Err(Refusal { code: Code::DeadlineUnmeetable, wait }));
+                }
+                Err(_) if is_queued => is_queued = false,
+                Err(_) => unanswered += 1,
             }
         }
         info!(board.log, "owner does not respond"; Event::OwnerSilent, "owner" => %id,
