--- a/crates/relay/src/owner.rs
+++ b/crates/relay/src/owner.rs
@@ -233,6 +233,7 @@
     };
     let acquiring = dispatcher::acquire_charged(&board, &submission, &request.avoid);
     let mut acquiring = std::pin::pin!(acquiring);
+    // The holder is told that the request waits only if there is no decision at once.
     let decision = tokio::select! {
         biased;
         decision = acquiring.as_mut() => decision,
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -166,7 +166,7 @@
         self.owned = services.into_iter().collect();
     }
 
-    /// Service and availability zone of an endpoint are this node's to give out.
+    /// Whether this node gives out the slots of an endpoint.
     #[must_use]
     pub fn owns(&self, id: &EndpointId) -> bool {
         self.endpoints.get(id).is_some_and(|endpoint| {
