--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -26,7 +26,7 @@
 use slog::info;
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::net::TcpStream;
-use units::Tokens;
+use units::{Fingerprint, Tokens};
 
 /// Largest buffered response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -310,6 +310,11 @@
     Failure::Lost(cause)
 }
 
+fn join(parts: &[Fingerprint]) -> String {
+    let parts: Vec<String> = parts.iter().map(Fingerprint::to_string).collect();
+    parts.join(",")
+}
+
 /// Records a strike against a request if its endpoint refuses connections right after it failed.
 pub async fn strike_if_crashed(
     board: &Blackboard,
@@ -322,7 +327,10 @@
         let fingerprint = accepted.submission.fingerprint;
         let strikes = board.strikes.borrow_mut().strike(fingerprint, board.now());
         info!(board.log, "strike"; Event::Strike, "request" => &*accepted.head.attempt,
-            "fingerprint" => %fingerprint, "strikes" => strikes, "address" => %address);
+            "fingerprint" => %fingerprint, "strikes" => strikes, "address" => %address,
+            "organisation" => %accepted.submission.organisation,
+            "shared_parts" => join(&accepted.head.shared_parts));
+        board.metrics.count("strike", &strikes.to_string());
     }
 }
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,7 +1,7 @@
 //! Headers of a caller's request.
 
 use std::time::Duration;
-use units::Tokens;
+use units::{Fingerprint, Tokens};
 
 /// Decoded headers of a caller's request.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -20,6 +20,8 @@
     pub output_estimate: Option<Tokens>,
     /// Last event that the caller has, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Box<[Fingerprint]>,
 }
 
 /// Divisor of the maximum output for requests without an estimate; in the data sheets, the mean
--- a/crates/units/src/hash.rs
+++ b/crates/units/src/hash.rs
@@ -4,8 +4,12 @@
 use std::fmt;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Keeps the fingerprints of parts apart from those of requests.
+const PART_KEY: &str = "prompt part";
+
 common! {
-    /// Hash of a request's organisation, service, path and body.
+    /// Hash of what a request is recognised by: of its organisation, service, path and body, or of
+    /// one part of its prompt.
     #[derive(Copy)]
     #[serde(transparent)]
     pub struct Fingerprint(pub u64);
@@ -16,6 +20,15 @@
     pub struct PrefixHash(pub u64);
 }
 
+impl Fingerprint {
+    /// Fingerprint of the part of a prompt with this identifier. Nodes compare it, so all builds must
+    /// agree on it.
+    #[must_use]
+    pub fn of_part(id: &str) -> Self {
+        Self(score(&id.to_ascii_lowercase(), PART_KEY))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
