--- a/crates/fake-host/src/caller.rs
+++ b/crates/fake-host/src/caller.rs
@@ -77,6 +77,13 @@
         self.with_header("x-token-usage", "100,50")
     }
 
+    /// Requests a token stream for a prompt of these parts.
+    #[must_use]
+    pub fn with_prompt(self, parts: &[&str]) -> Self {
+        let parts: Vec<String> = parts.iter().map(|part| format!("{part}:25")).collect();
+        self.streamed().with_header("x-prompt-prefix", &parts.join(","))
+    }
+
     /// Adds a header or replaces it.
     #[must_use]
     pub fn with_header(mut self, name: &str, value: &str) -> Self {
--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -79,6 +79,17 @@
     runs: Vec<Run>,
     events: u64,
     pause: Duration,
+    /// Part of a prompt under which the worker crashes.
+    deadly_part: Option<Box<str>>,
+    stop: watch::Sender<bool>,
+}
+
+impl State {
+    fn crashes_under(&self, run: &Run) -> bool {
+        let prompt = run.headers.get("x-prompt-prefix").map(String::as_str).unwrap_or_default();
+        let mut parts = prompt.split(',').filter_map(|part| part.split(':').next());
+        self.deadly_part.as_deref().is_some_and(|deadly| parts.any(|part| part == deadly))
+    }
 }
 
 /// Handle of a running worker.
@@ -87,7 +98,6 @@
     /// Address that it serves at.
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
-    stop: watch::Sender<bool>,
 }
 
 impl Worker {
@@ -98,16 +108,18 @@
     pub async fn start(id: &str) -> Result<Self> {
         let listener = TcpListener::bind((crate::unused_address(), 0)).await?;
         let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
         let state = Arc::new(Mutex::new(State {
             id: id.to_owned(),
             fault: Fault::None,
             runs: Vec::new(),
             events: 5,
             pause: Duration::from_millis(5),
+            deadly_part: None,
+            stop,
         }));
-        let (stop, stopped) = watch::channel(false);
         tokio::spawn(accept(listener, Arc::clone(&state), stopped));
-        Ok(Self { address, state, stop })
+        Ok(Self { address, state })
     }
 
     /// Identifier.
@@ -136,10 +148,21 @@
         state.pause = pause;
     }
 
+    /// Sets a part of a prompt under which the worker crashes when it begins a response.
+    pub fn set_deadly_part(&self, part: &str) {
+        self.state.lock().deadly_part = Some(part.into());
+    }
+
+    /// Whether the worker has crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        *self.state.lock().stop.borrow()
+    }
+
     /// Closes the listener and all connections, like a crash, and waits until connections are
     /// refused.
     pub async fn crash(&self) {
-        self.stop.send_replace(true);
+        self.state.lock().stop.send_replace(true);
         while TcpStream::connect(self.address).await.is_ok() {
             tokio::time::sleep(CRASH_POLL_INTERVAL).await;
         }
@@ -244,9 +267,16 @@
     let after = run.headers.get("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
     let index = {
         let mut state = state.lock();
+        if state.crashes_under(&run) {
+            state.stop.send_replace(true);
+        }
         state.runs.push(run);
         state.runs.len() - 1
     };
+    if state.lock().stop.borrow().to_owned() {
+        // The task is dropped here, without a response.
+        std::future::pending::<()>().await;
+    }
     if fault == Fault::DropResponse {
         return Ok(false);
     }
