Relay: quarantine of the parts of prompts that crash endpoints, by all nodes

Cause: a belief keyed by the whole request and counted by each node. Strikes of requests that share only a part never add up; digests carried the larger count of two nodes, not the sum; the verdict was asked on arrival only, so a request that waited or was repeated went out after it.

Evidence: 146 fingerprints with strikes and two parts in 51 crashes each; attempt has a strike after the one that quarantined it.

Change: sched::quarantine keeps, for the request and each part that others may share, the set of crashes under it. Sets are merged, so order and repetition do not matter and a crash counts once. A request that goes on for 250 ms clears its traits. Three crashes refuse a trait, unless suspected traits that the request lacks explain them. One trial after 8 s, doubled by each crash, one node at a time. Evidence goes to all nodes at once, is repeated by readers each second, and is sent to a node that starts. The verdict is asked before each attempt.

Ruled out: counting by organisation, since the part crashes endpoints under any of them; refusing by organisation or first part, which sound requests have.

Older builds refuse the new datagrams and log it.

--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -114,6 +114,8 @@
     Strike = 520;
     /// A request was quarantined.
     Quarantine = 521;
+    /// Suspected parts or requests were cleared: a request with them was served.
+    QuarantineCleared = 522;
     /// The placement lease was taken or lost.
     Lease = 600;
     /// A placement decision: order, endpoint, reason.
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -51,6 +51,9 @@
     pub deadline: Time,
     /// Parameters for the dispatcher.
     pub submission: Submission,
+    /// What the request is recognised by if endpoints crash under it: itself, and the parts of its
+    /// prompt that others may share.
+    pub traits: Box<[Fingerprint]>,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -112,8 +115,10 @@
         submission.cost = head.cost(organisation.default_cost);
     }
     let path = parts.uri.path_and_query().cloned();
+    let traits = std::iter::once(fingerprint).chain(head.shared_parts.iter().copied()).collect();
     Ok(Request {
         head,
+        traits,
         organisation,
         arrived,
         deadline,
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -20,25 +20,25 @@
     settings::Settings,
     transfer::Library,
 };
-use sched::{budget::Budget, fleet::Fleet, quota::Limiter, strike::Tracker};
+use sched::{budget::Budget, fleet::Fleet, quarantine::Tracker, quota::Limiter};
 use slog::Logger;
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::{Notify, watch};
-use units::{OrganisationId, RequestId, ServiceId, Time, Tokens, Version, time::Clock};
+use units::{
+    Fingerprint, OrganisationId, RequestId, ServiceId, Time, Tokens, Version, time::Clock,
+};
 
 /// Divisor for sharing an endpoint's connections: at most half of all nodes use one endpoint at the
 /// same time, because each prefers its own availability zone.
 const CONNECTION_SPREAD: u32 = 2;
 /// Number of connections to an endpoint that every node may open.
 const MIN_CONNECTIONS: u32 = 2;
-/// Number of endpoint crashes after which a request is quarantined.
-const CRASH_THRESHOLD: u8 = 3;
 
 /// Fraction of the process's memory that bodies may use, as a divisor.
 const BODY_MEMORY_DIVISOR: u64 = 4;
@@ -104,8 +104,12 @@
     pub limiter: RefCell<Limiter>,
     /// Retry budgets by service.
     pub retry_budgets: RefCell<HashMap<ServiceId, Budget>>,
-    /// Strikes against requests under which endpoints crashed.
-    pub strikes: RefCell<Tracker>,
+    /// Evidence against what endpoints crashed under.
+    pub quarantine: RefCell<Tracker>,
+    /// Traits whose evidence is to be sent to the other nodes.
+    pub unsent_evidence: RefCell<BTreeSet<Fingerprint>>,
+    /// Notified when there are such traits.
+    pub evidence_changed: Notify,
     /// Permits that this node waits for and holds.
     pub permits: RefCell<Permits>,
     /// Permits that this node issues, and other cells.
@@ -156,7 +160,9 @@
             fleet: RefCell::default(),
             limiter: RefCell::default(),
             retry_budgets: RefCell::default(),
-            strikes: RefCell::new(Tracker::new().with_threshold(CRASH_THRESHOLD)),
+            quarantine: RefCell::default(),
+            unsent_evidence: RefCell::default(),
+            evidence_changed: Notify::new(),
             roster: RefCell::new(
                 Roster::new(settings.instance.clone()).with_regions(settings.region_count()),
             ),
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -10,6 +10,7 @@
     permit::Message,
 };
 use anyhow::{Context, Result};
+use sched::quarantine::Evidence;
 use serde::{Deserialize, Serialize};
 use units::{Fingerprint, InstanceId, OrganisationId, Version, ZoneId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -49,7 +50,7 @@
     pub loads: Box<[Load]>,
     /// Tokens charged to organisations.
     pub spent: Box<[Spent]>,
-    /// Strikes against requests under which endpoints crashed.
+    /// Always empty; older builds expect the field. See [`Datagram::Crashes`].
     pub strikes: Box<[Strike]>,
 }
 
@@ -104,6 +105,8 @@
     Digest(Box<Digest>),
     /// Messages about permits.
     Permits(Box<[Message]>),
+    /// Evidence against what endpoints crashed under.
+    Crashes(Box<[Evidence]>),
 }
 
 impl Datagram {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -93,7 +93,7 @@
 
 #[derive(Debug)]
 enum Decision {
-    Dispatch(Slot),
+    Dispatch(Box<Slot>),
     Refuse(Refusal),
 }
 
@@ -394,6 +394,7 @@
     let choice = Choice {
         endpoint: listing.id,
         address: listing.address,
+        born: listing.born,
         expected: Duration::ZERO,
         in_flight: 0,
         candidates: 0,
@@ -428,7 +429,7 @@
     send_refusals(refused);
     dispatch_service(board, &submission.service);
     match decided.await {
-        Ok(Decision::Dispatch(slot)) => Ok(slot),
+        Ok(Decision::Dispatch(slot)) => Ok(*slot),
         Ok(Decision::Refuse(refusal)) => Err(refusal),
         Err(_) => Err(Refusal { code: Code::Draining, wait: Duration::ZERO }),
     }
@@ -477,7 +478,7 @@
 pub fn dispatch_service(board: &Rc<Blackboard>, service: &ServiceId) {
     // If the task has ended, its slot is dropped here, after the borrows of the blackboard end.
     while let Some((decision, slot)) = dispatch_next(board, service) {
-        decision.send(Decision::Dispatch(slot)).ok();
+        decision.send(Decision::Dispatch(Box::new(slot))).ok();
     }
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,6 +13,7 @@
     headers::Outbound,
     history::{Failure, History},
     pool::Connection,
+    quarantine::{self, Site},
     reply::{self, Body, Refused, end_to_end, millis, response_head},
     response,
     stream::Relay,
@@ -22,11 +23,10 @@
 use http::{HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use sched::{fleet::Outcome, quota::Quota, strike::Verdict};
+use sched::{fleet::Outcome, quota::Quota};
 use slog::info;
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::net::TcpStream;
-use units::{Fingerprint, Tokens};
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use units::Tokens;
 
 /// Largest buffered response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -34,8 +34,6 @@
 const MAX_DISCARDED_BYTES: usize = 16 << 10;
 /// Time limit for such a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time limit for the connection attempt that tells a crashed endpoint from a broken connection.
-const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Counts a request as in progress until dropped.
 struct Guard<'a>(&'a Cell<usize>);
@@ -100,7 +98,7 @@
     board: &Rc<Blackboard>,
     accepted: Rc<admission::Request>,
 ) -> Result<http::Response<Body>, Refused> {
-    check_quarantine(board, &accepted)?;
+    quarantine::check(board, &accepted)?;
     let cost = charge_quota(board, &accepted)?;
     board.count_request(&accepted.submission.service);
     let result = try_endpoints(board, &accepted).await;
@@ -112,18 +110,6 @@
     result
 }
 
-fn check_quarantine(board: &Blackboard, accepted: &admission::Request) -> Result<(), Refused> {
-    let now = board.now();
-    match board.strikes.borrow().verdict(accepted.submission.fingerprint, now) {
-        Verdict::Quarantined { until } => {
-            let cause = format!("endpoints crashed under {}", accepted.submission.fingerprint);
-            let refused = Refused::new(Code::Crashing, cause);
-            Err(refused.with_retry_after(until.since(now)))
-        }
-        Verdict::Clear | Verdict::Suspect => Ok(()),
-    }
-}
-
 /// Charges the request's tokens to its organisation's quota, unless an owner will.
 fn charge_quota(board: &Blackboard, accepted: &admission::Request) -> Result<Tokens, Refused> {
     let Some(organisation) = &accepted.organisation else { return Ok(Tokens(0)) };
@@ -169,6 +155,7 @@
         submission.cost = Tokens(0);
         let slot =
             slot.map_err(|refusal| history.refuse_unplaced(accepted, refusal, board.now()))?;
+        quarantine::check_out(board, accepted).map_err(|refused| history.refuse_again(refused))?;
         let endpoint = slot.endpoint().clone();
         let received = match send(board, accepted, slot, accepted.head.resume_after).await {
             Ok(received) => received,
@@ -299,41 +286,17 @@
     unsent: bool,
     cause: Box<str>,
 ) -> Failure {
-    let address = slot.address();
+    let site = Site::new(&slot);
     if unsent {
         // The endpoint may have closed an idle connection, which does not indicate a fault.
         slot.release(if reused { Outcome::Cancelled } else { Outcome::Unreachable });
         return Failure::Unsent(cause);
     }
     slot.release(Outcome::Failed);
-    strike_if_crashed(board, accepted, address).await;
+    quarantine::record_if_crashed(board, accepted, site).await;
     Failure::Lost(cause)
 }
 
-fn join(parts: &[Fingerprint]) -> String {
-    let parts: Vec<String> = parts.iter().map(Fingerprint::to_string).collect();
-    parts.join(",")
-}
-
-/// Records a strike against a request if its endpoint refuses connections right after it failed.
-pub async fn strike_if_crashed(
-    board: &Blackboard,
-    accepted: &admission::Request,
-    address: SocketAddr,
-) {
-    board.pool.remove_address(address);
-    let probe = tokio::time::timeout(CRASH_PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    if matches!(probe, Ok(Err(_))) {
-        let fingerprint = accepted.submission.fingerprint;
-        let strikes = board.strikes.borrow_mut().strike(fingerprint, board.now());
-        info!(board.log, "strike"; Event::Strike, "request" => &*accepted.head.attempt,
-            "fingerprint" => %fingerprint, "strikes" => strikes, "address" => %address,
-            "organisation" => %accepted.submission.organisation,
-            "shared_parts" => join(&accepted.head.shared_parts));
-        board.metrics.count("strike", &strikes.to_string());
-    }
-}
-
 /// Checks that a response belongs to the request and may be forwarded.
 fn check_response(
     accepted: &admission::Request,
@@ -392,9 +355,9 @@
     let body = match tokio::time::timeout(time_left, read_whole(board, body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(cause)) => {
-            let address = slot.address();
+            let site = Site::new(&slot);
             slot.release(Outcome::Failed);
-            strike_if_crashed(board, accepted, address).await;
+            quarantine::record_if_crashed(board, accepted, site).await;
             return Err(Failure::Lost(cause));
         }
         Err(_) => return Err(Failure::TimedOut),
@@ -403,6 +366,9 @@
     board.pool.release(connection, head.keep_alive, max_idle(board, accepted), now);
     slot.record_events(1);
     let took = now.since(slot.acquired);
+    if parts.status.is_success() {
+        quarantine::record_survival(board, accepted);
+    }
     let failed = parts.status.is_server_error();
     let endpoint = slot.endpoint().clone();
     slot.release(if failed { Outcome::Failed } else { Outcome::Completed });
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -122,6 +122,12 @@
         if self.possible_runs > 0 { refused } else { refused.with_retry_after(wait) }
     }
 
+    /// Refusal for a reason that came up before another attempt.
+    #[must_use]
+    pub fn refuse_again(&self, refused: Refused) -> Refused {
+        if self.possible_runs > 0 { self.refuse(refused.code, &refused.cause) } else { refused }
+    }
+
     /// Refusal that promises "not run" only if no endpoint may have run the request.
     fn refuse(&self, code: Code, cause: &str) -> Refused {
         if self.possible_runs > 0 {
--- a/crates/relay/src/holder.rs
+++ b/crates/relay/src/holder.rs
@@ -196,8 +196,8 @@
     let Grant { request, endpoint, expected, in_flight } = grant;
     let mut permits = board.permits.borrow_mut();
     permits.pending.remove(&request);
-    let address = board.fleet.borrow().address(&endpoint);
-    let Some(address) = address else {
+    let listing = board.fleet.borrow().listing(&endpoint).map(|l| (l.address, l.born));
+    let Some((address, born)) = listing else {
         drop(permits);
         board.metrics.count("permit", "unknown_endpoint");
         end(board, owner, request, Outcome::Cancelled);
@@ -206,7 +206,7 @@
     let held = Held { endpoint: endpoint.clone(), size: submission.size, owner };
     permits.held.insert(request, held);
     drop(permits);
-    let choice = Choice { endpoint, address, expected, in_flight, candidates: 1 };
+    let choice = Choice { endpoint, address, born, expected, in_flight, candidates: 1 };
     Some(Slot::with_permit(board, submission, choice))
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod peers;
 pub mod permit;
 pub mod pool;
+pub mod quarantine;
 pub mod reply;
 pub mod request;
 pub mod response;
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     blackboard::{Blackboard, Phase},
-    discovery, dispatcher, holder, owner, peers, serve, transfer,
+    discovery, dispatcher, holder, owner, peers, quarantine, serve, transfer,
     watch::{self, Store},
 };
 use anyhow::Result;
@@ -29,7 +29,7 @@
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay after which a task that panicked runs again.
 const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
-/// Interval for pruning idle connections and strikes.
+/// Interval for pruning idle connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the settings file is checked without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(5);
@@ -82,6 +82,7 @@
     supervise(&board, &socket, "receive", peers::receive);
     supervise(&board, &socket, "broadcast", peers::broadcast);
     supervise(&board, &socket, "permits", peers::send_permits);
+    supervise(&board, &socket, "quarantine", quarantine::run);
     supervise(&board, &changed, "reload", reload);
     supervise(&board, &Rc::new(()), "holder", |board, _| holder::confirm(board));
     supervise(&board, &Rc::new(()), "owner", |board, _| owner::run(board));
@@ -128,7 +129,7 @@
             break;
         }
     }
-    peers::announce_leave(board, socket).await;
+    peers::announce_leave(board, socket);
 }
 
 async fn maintain(board: Rc<Blackboard>) {
@@ -136,7 +137,6 @@
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         let now = board.now();
         board.pool.prune(now);
-        board.strikes.borrow_mut().prune(now);
     }
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -10,9 +10,10 @@
 
 use crate::{
     blackboard::Blackboard,
-    digest::{Datagram, Digest, Load, Spent, Strike, short_hash},
+    digest::{Datagram, Digest, Load, Spent, short_hash},
     directory, dispatcher, holder, owner,
     permit::Message,
+    quarantine,
     watch::REAPPEARANCE_TIME,
 };
 use codes::Event;
@@ -29,27 +30,26 @@
 const MAX_QUIET_TIME: Duration = Duration::from_millis(500);
 /// Largest datagram that is read, in bytes. A confirmation of 200 permits takes 8 KB.
 const MAX_DATAGRAM: usize = 64 * 1024;
-/// Maximum number of strikes in a digest; few requests crash endpoints at the same time.
-const MAX_STRIKES: usize = 16;
 
 /// Receives and applies digests.
 pub async fn receive(board: Rc<Blackboard>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => handle_datagram(&board, &buffer[..length], from),
+            Ok((length, from)) => handle_datagram(&board, &socket, &buffer[..length], from),
             // ICMP error in response to an earlier datagram: its recipient is down.
             Err(e) => board.metrics.count("datagram_error", &e.kind().to_string()),
         }
     }
 }
 
-fn handle_datagram(board: &Rc<Blackboard>, datagram: &[u8], from: SocketAddr) {
+fn handle_datagram(board: &Rc<Blackboard>, socket: &UdpSocket, datagram: &[u8], from: SocketAddr) {
     let secret = board.roster.borrow().secret.clone();
     let Some(secret) = secret else { return };
     let digest = match Datagram::verify_and_decode(datagram, &secret) {
         Ok(Datagram::Digest(digest)) => digest,
         Ok(Datagram::Permits(messages)) => return handle_permits(board, messages, from),
+        Ok(Datagram::Crashes(evidence)) => return quarantine::merge(board, &evidence, from),
         Err(e) => {
             board.metrics.count("datagram", "refused");
             return info!(board.log, "datagram refused"; Event::DatagramRefused,
@@ -57,6 +57,7 @@
         }
     };
     let now = board.now();
+    let has_restarted = board.roster.borrow().incarnation(&digest.from) != Some(digest.incarnation);
     if digest.from == board.settings.instance
         || !board.roster.borrow_mut().accept(
             &digest,
@@ -67,6 +68,9 @@
     {
         return;
     }
+    if has_restarted {
+        quarantine::greet(board, socket, from);
+    }
     apply_digest(board, &digest, now);
     let changed = digest.directory.as_ref().is_some_and(|delta| directory::merge(board, delta));
     if changed {
@@ -142,11 +146,6 @@
             limiter.record_peer_total(&digest.from, organisation, quota, total, now);
         }
     }
-    let mut strikes = board.strikes.borrow_mut();
-    for strike in &digest.strikes {
-        let age = Duration::from_millis(strike.age_ms.into());
-        strikes.merge(strike.fingerprint, strike.count, age, now);
-    }
 }
 
 /// Allocates this node's share of free slots and sends digests to the other nodes.
@@ -182,7 +181,7 @@
             limiter.set_node_count(nodes);
             limiter.rebalance(now);
         }
-        send(&board, &socket, &digest, due).await;
+        send(&board, &socket, &digest, due);
         last = Some(digest);
     }
 }
@@ -249,12 +248,6 @@
     });
     let mut spent: Vec<Spent> = spent.collect();
     spent.sort_by(|a, b| a.organisation.cmp(&b.organisation));
-    let strikes = board.strikes.borrow().records(now);
-    let strikes = strikes.into_iter().take(MAX_STRIKES).map(|(fingerprint, count, age)| Strike {
-        fingerprint,
-        count,
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-    });
     Digest {
         from: board.settings.instance.clone(),
         incarnation: board.incarnation,
@@ -275,28 +268,34 @@
         waiting: board.dispatcher.borrow().waiting_by_service(&fleet),
         loads: loads.collect(),
         spent: spent.into(),
-        strikes: strikes.collect(),
+        strikes: Box::default(),
     }
 }
 
-async fn send(board: &Blackboard, socket: &UdpSocket, digest: &Digest, all: bool) {
-    let (secret, addresses) = {
+fn send(board: &Blackboard, socket: &UdpSocket, digest: &Digest, all: bool) {
+    let addresses = {
         let roster = board.roster.borrow();
-        (roster.secret.clone(), roster.addresses(all || roster.is_small()))
+        roster.addresses(all || roster.is_small())
     };
-    let Some(secret) = secret else { return };
-    let datagram = Datagram::Digest(Box::new(digest.clone()));
+    send_to(board, socket, &Datagram::Digest(Box::new(digest.clone())), &addresses);
+}
+
+/// Sends a datagram to other nodes.
+pub fn send_to(board: &Blackboard, socket: &UdpSocket, datagram: &Datagram, nodes: &[SocketAddr]) {
+    let Some(secret) = board.roster.borrow().secret.clone() else { return };
     let datagram = match datagram.encode_with_hmac(&secret) {
         Ok(datagram) => datagram,
-        Err(e) => return info!(board.log, "encoding a digest failed"; "error" => format!("{e:#}")),
+        Err(e) => {
+            return info!(board.log, "encoding a datagram failed"; "error" => format!("{e:#}"));
+        }
     };
-    for address in addresses {
-        send_datagram(board, socket, &datagram, address);
+    for address in nodes {
+        send_datagram(board, socket, &datagram, *address);
     }
 }
 
 /// Announces to the other nodes that this node is leaving.
-pub async fn announce_leave(board: &Blackboard, socket: &UdpSocket) {
+pub fn announce_leave(board: &Blackboard, socket: &UdpSocket) {
     let digest = Digest { leaving: true, ..build_digest(board, u64::MAX) };
-    send(board, socket, &digest, true).await;
+    send(board, socket, &digest, true);
 }
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use sched::fleet::Distance;
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
-use units::{InstanceId, ServiceId, Time, Version};
+use units::{Fingerprint, InstanceId, ServiceId, Time, Version};
 
 /// Shortest interval between digests: a tenth of the time for which a stream holds its slot.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -225,6 +225,13 @@
         true
     }
 
+    /// Incarnation of a node's process, once it has been heard.
+    #[must_use]
+    pub fn incarnation(&self, id: &InstanceId) -> Option<u64> {
+        let peer = self.peers.get(id)?;
+        peer.last_digest.map(|_| peer.incarnation)
+    }
+
     /// Records a digest and returns true if it is newer than the last one from its node.
     pub fn accept(
         &mut self,
@@ -316,6 +323,16 @@
             || !store_lost && ahead(&|peer| is_candidate(peer) && !peer.store_lost) < readers
     }
 
+    /// Number of live nodes that come before this one for a fingerprint, by rendezvous hashing.
+    #[must_use]
+    pub fn rank(&self, fingerprint: Fingerprint, now: Time) -> u32 {
+        let key = fingerprint.to_string();
+        let mine = self.instance.as_ref().map(|id| units::score(id.as_str(), &key));
+        let ahead =
+            self.live_peers(now).filter(|(id, _)| Some(units::score(id.as_str(), &key)) > mine);
+        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
+    }
+
     /// Sets this node's preference as an owner of cells; 0 if it cannot be one.
     pub fn set_owner_weight(&mut self, weight: u32) {
         self.owner_weight = weight;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -139,6 +139,7 @@
         let gauge = |name, value| board.metrics.set_gauge(name, value);
         gauge("in_progress", board.in_progress.get() as u64);
         gauge("waiting", board.dispatcher.borrow().waiting() as u64);
+        gauge("quarantined", board.quarantine.borrow().suspected() as u64);
         gauge("peers", board.roster.borrow().live_count(board.now()) as u64);
         let version = board.configuration.borrow().as_ref().map_or(0, |c| c.version.get());
         gauge("configuration_version", version);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,6 +15,7 @@
     exchange,
     history::{Failure, History},
     pool::Connection,
+    quarantine::{self, SURVIVAL_TIME, Site},
     reply::millis,
 };
 use bytes::Bytes;
@@ -31,7 +32,10 @@
     task::{Context, Poll, ready},
     time::Duration,
 };
-use tokio::time::{Instant, Sleep};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, Sleep},
+};
 use units::Time;
 
 /// Silence after which a resumable stream is moved to another endpoint; callers give up after 2 s.
@@ -102,6 +106,8 @@
     ignore_silence: bool,
     /// Whether the stream is counted as in progress.
     counted: bool,
+    /// Whether the request has been recorded as one that does not crash endpoints.
+    survived: bool,
 }
 
 impl Relay {
@@ -122,6 +128,7 @@
             longest_gap: Duration::ZERO,
             ignore_silence: false,
             counted: false,
+            survived: false,
             timer,
             board,
             accepted,
@@ -149,9 +156,8 @@
             Err(End::TimedOut) => return Err(Failure::TimedOut),
             Err(End::Silent) => return Err(Failure::Lost("silent".into())),
             Err(End::Broken(cause)) => {
-                let address = self.fail_segment();
-                if let Some(address) = address {
-                    exchange::strike_if_crashed(&self.board, &self.accepted, address).await;
+                if let Some(site) = self.fail_segment() {
+                    quarantine::record_if_crashed(&self.board, &self.accepted, site).await;
                 }
                 return Err(Failure::Lost(cause));
             }
@@ -159,13 +165,13 @@
         Ok(())
     }
 
-    /// Ends the current segment as failed and returns the endpoint's address.
-    fn fail_segment(&mut self) -> Option<std::net::SocketAddr> {
+    /// Ends the current segment as failed and returns its endpoint.
+    fn fail_segment(&mut self) -> Option<Site> {
         match std::mem::replace(&mut self.state, State::Ended) {
             State::Reading(segment) => {
-                let address = segment.slot.address();
+                let site = Site::new(&segment.slot);
                 segment.slot.release(Outcome::Failed);
-                Some(address)
+                Some(site)
             }
             State::Resuming(_) | State::Ended => None,
         }
@@ -286,11 +292,22 @@
             self.first_event = Some(now);
             self.board.metrics.record_time("first_event", now.since(self.accepted.arrived));
         }
+        if self.first_event.is_some_and(|first| now.since(first) >= SURVIVAL_TIME) {
+            self.record_survival();
+        }
+    }
+
+    fn record_survival(&mut self) {
+        if !self.survived {
+            self.survived = true;
+            quarantine::record_survival(&self.board, &self.accepted);
+        }
     }
 
     fn complete(&mut self) {
         let state = std::mem::replace(&mut self.state, State::Ended);
         let State::Reading(segment) = state else { return };
+        self.record_survival();
         let now = self.board.now();
         let first = self.first_event.unwrap_or(now).since(self.accepted.arrived);
         info!(self.board.log, "answered"; Event::Answered,
@@ -335,6 +352,13 @@
             return Err(self.interrupt(cause));
         };
         let endpoint = segment.slot.endpoint().clone();
+        if !self.survived {
+            let (board, accepted) = (Rc::clone(&self.board), Rc::clone(&self.accepted));
+            let site = Site::new(&segment.slot);
+            spawn_local(async move {
+                quarantine::record_if_crashed(&board, &accepted, site).await;
+            });
+        }
         segment.slot.release(Outcome::Failed);
         drop(segment.connection);
         drop(segment.body);
@@ -393,6 +417,7 @@
     loop {
         let slot = dispatcher::acquire_slot(&board, &submission, &history.tried).await;
         let slot = slot.map_err(|refusal| refusal.code.to_string())?;
+        quarantine::check_out(&board, &accepted).map_err(|refused| refused.cause)?;
         let endpoint = slot.endpoint().clone();
         let sent = exchange::send(&board, &accepted, slot, last).await;
         let failure = match sent {
--- a/crates/relay/tests/nodes.rs
+++ b/crates/relay/tests/nodes.rs
@@ -4,6 +4,7 @@
 
 mod nodes {
     pub mod permits;
+    pub mod quarantine;
     pub mod support;
     pub mod transfer;
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -242,6 +242,7 @@
         best.map(|(cost, endpoint)| Choice {
             endpoint: endpoint.listing.id.clone(),
             address: endpoint.listing.address,
+            born: endpoint.listing.born,
             expected: Duration::from_secs_f64(cost / 1_000.0),
             in_flight: endpoint.load(self.usage_ttl, now).in_flight,
             candidates,
--- a/crates/sched/src/fleet/types.rs
+++ b/crates/sched/src/fleet/types.rs
@@ -100,6 +100,8 @@
     pub endpoint: EndpointId,
     /// Its address.
     pub address: SocketAddr,
+    /// Start time of its process, in Unix milliseconds.
+    pub born: Option<u64>,
     /// Expected time to a first response, including penalties.
     pub expected: Duration,
     /// Requests in flight at the endpoint, including the peers' requests.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod placement;
 pub mod policy;
 pub mod prefix;
+pub mod quarantine;
 pub mod quota;
 pub mod route;
 pub mod straggler;
