Relay: an unframed stream that ends before its first event is broken off

What callers saw: success with an empty stream, where an endpoint with neither length nor chunks had closed its connection after the head.

Cause: the end of such a connection was taken for the end of the stream. A stream that ends inside an event was recognised before. Ruled out: plain responses, since a reset is an error of the connection.

Change: a body without framing that ends before any event counts as lost, and the request is repeated where it may be. Three tests in platform/tests/unframed.rs; a_stream_that_ends_before_its_first_event_is_no_success failed before with status 200.

Conclusion: answers with neither length nor chunks hold.

--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -81,6 +81,8 @@
     pause: Duration,
     /// Part of a prompt under which the worker crashes.
     deadly_part: Option<Box<str>>,
+    /// Whether responses end with their connection, without a length or chunks.
+    unframed: bool,
     stop: watch::Sender<bool>,
 }
 
@@ -116,6 +118,7 @@
             events: 5,
             pause: Duration::from_millis(5),
             deadly_part: None,
+            unframed: false,
             stop,
         }));
         tokio::spawn(accept(listener, Arc::clone(&state), stopped));
@@ -153,6 +156,11 @@
         self.state.lock().deadly_part = Some(part.into());
     }
 
+    /// Sends responses that have neither a length nor chunks and end with their connection.
+    pub fn set_unframed(&self) {
+        self.state.lock().unframed = true;
+    }
+
     /// Whether the worker has crashed.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -304,6 +312,10 @@
         return written;
     }
     let body = format!("answer to {attempt} by {id}");
+    if state.lock().unframed {
+        stream.write_all(format!("{head}\r\n{body}").as_bytes()).await?;
+        return Ok(false);
+    }
     let response = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
     stream.write_all(response.as_bytes()).await?;
     if fault == Fault::ExtraResponse {
@@ -329,26 +341,34 @@
     after: u64,
     fault: Fault,
 ) -> Result<bool> {
-    let (count, pause) = {
+    let (count, pause, unframed) = {
         let state = state.lock();
-        (state.events, state.pause)
+        (state.events, state.pause, state.unframed)
+    };
+    let framing = if unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
+    let kind = "Content-Type: text/event-stream\r\n";
+    stream.write_all(format!("{head}{kind}{framing}\r\n").as_bytes()).await?;
+    let frame = |text: &str| match unframed {
+        true => text.to_owned(),
+        false => format!("{:x}\r\n{text}\r\n", text.len()),
     };
-    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    stream.write_all(format!("{head}{kind}").as_bytes()).await?;
     for number in after + 1..=count {
         tokio::time::sleep(pause).await;
         let event = format!("id: {number}\ndata: token {number}\n\n");
         if matches!(fault, Fault::TruncateAfter(last) if number > last) {
             let half = &event[..event.len() / 2];
-            stream.write_all(format!("{:x}\r\n{half}\r\n", half.len()).as_bytes()).await?;
+            stream.write_all(frame(half).as_bytes()).await?;
             return Ok(false);
         }
-        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        stream.write_all(frame(&event).as_bytes()).await?;
         // A read of zero bytes means that the caller has disconnected.
         let mut byte = [0];
         let disconnected = matches!(stream.try_read(&mut byte), Ok(0));
         anyhow::ensure!(!disconnected, "caller disconnected");
     }
+    if unframed {
+        return Ok(false);
+    }
     stream.write_all(b"0\r\n\r\n").await?;
     Ok(true)
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -16,7 +16,7 @@
     quarantine::{self, Site},
     reply::{self, Body, Refused, end_to_end, millis, response_head},
     response,
-    stream::Relay,
+    stream::{Relay, Segment},
 };
 use bytes::{Bytes, BytesMut};
 use codes::{Code, Event, Executed};
@@ -384,7 +384,7 @@
         "total_ms" => millis(now.since(accepted.arrived)), "runs" => history.possible_runs + 1);
     board.metrics.count("answered", parts.status.as_str());
     board.metrics.record_time("answer", now.since(accepted.arrived));
-    Ok(response_head(&parts, Body::Full(Full::new(body))))
+    Ok(response_head(&parts).map(|()| Body::Full(Full::new(body))))
 }
 
 /// Forwards a stream once its first event has arrived.
@@ -394,10 +394,10 @@
     received: Response,
     history: &mut History,
 ) -> Result<http::Response<Body>, Failure> {
-    let Response { slot, connection, head, parts, body } = received;
-    let segment = crate::stream::Segment { slot, connection, body, keep_alive: head.keep_alive };
+    let head = response_head(&received.parts);
+    let segment = Segment::new(received);
     let mut relay = Relay::new(Rc::clone(board), Rc::clone(accepted), segment);
     relay.wait_first_event().await?;
     relay.take_history(std::mem::take(history));
-    Ok(response_head(&parts, Body::Relay(Box::new(relay))))
+    Ok(head.map(|()| Body::Relay(Box::new(relay))))
 }
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -130,10 +130,10 @@
     kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
-/// Response to a caller, with the endpoint's status and headers.
+/// Head of the response to a caller, with the endpoint's status and headers.
 #[must_use]
-pub fn response_head(parts: &response::Parts, body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
+pub fn response_head(parts: &response::Parts) -> Response<()> {
+    let mut response = Response::new(());
     *response.status_mut() = parts.status;
     *response.headers_mut() = end_to_end(&parts.headers);
     response.headers_mut().remove(header::CONTENT_LENGTH);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -20,6 +20,7 @@
 };
 use bytes::Bytes;
 use codes::Event;
+use http::header;
 use http_body::Body as _;
 use hyper::body::Incoming;
 use sched::{backlog::Deadlines, fleet::Outcome};
@@ -60,6 +61,24 @@
     pub body: Incoming,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// Whether the body has an end of its own; otherwise it ends with the connection.
+    framed: bool,
+}
+
+impl Segment {
+    /// Segment that begins with a response.
+    #[must_use]
+    pub fn new(response: exchange::Response) -> Self {
+        let exchange::Response { slot, connection, head, parts, body } = response;
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let framed = framing.iter().any(|name| parts.headers.contains_key(name));
+        Self { slot, connection, body, keep_alive: head.keep_alive, framed }
+    }
+
+    /// Whether the end of the body may be that of an endpoint that broke off before any event.
+    fn ended_empty(&self) -> bool {
+        !self.framed && !self.slot.has_response()
+    }
 }
 
 type Resuming = Pin<Box<dyn Future<Output = Result<(Segment, History), Box<str>>>>>;
@@ -243,6 +262,9 @@
                 Poll::Ready(Some(Err(e))) => {
                     return Poll::Ready(Err(End::Broken(e.to_string().into())));
                 }
+                Poll::Ready(None) if segment.ended_empty() => {
+                    return Poll::Ready(Err(End::Broken("closed before an event".into())));
+                }
                 Poll::Ready(None) => {
                     let end = match self.decoder.finish() {
                         Ok(()) => End::Complete,
@@ -422,9 +444,7 @@
         let sent = exchange::send(&board, &accepted, slot, last).await;
         let failure = match sent {
             Ok(received) if received.parts.status.is_success() => {
-                let keep_alive = received.head.keep_alive;
-                let exchange::Response { slot, connection, body, .. } = received;
-                return Ok((Segment { slot, connection, body, keep_alive }, history));
+                return Ok((Segment::new(received), history));
             }
             Ok(received) => {
                 let status = received.parts.status;
