--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -69,6 +69,8 @@
     EndpointLeaving = 302;
     /// An endpoint joined, its listing changed, or its drain was lifted.
     EndpointJoined = 303;
+    /// An endpoint limits the requests that it takes from all nodes, or does so no longer.
+    EndpointLimit = 304;
     /// This gateway took over a cell of endpoints.
     CellTaken = 310;
     /// This gateway gave a cell of endpoints to another owner.
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -2,6 +2,7 @@
 
 use sched::fleet::Load;
 use std::time::Duration;
+use units::RequestRate;
 
 /// Decoded headers of an endpoint's response.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -14,6 +15,8 @@
     pub not_run: bool,
     /// Load that the endpoint reports.
     pub load: Option<Load>,
+    /// Requests that the endpoint takes from all nodes together, if it limits them.
+    pub limit: Option<RequestRate>,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -52,7 +52,7 @@
     net::SocketAddr,
     time::Duration,
 };
-use units::{EndpointId, InstanceId, ServiceId, Time, Tokens};
+use units::{EndpointId, InstanceId, RequestRate, ServiceId, Time, Tokens};
 
 /// Time to a first response without prefill, in ms: three steps of an engine.
 const BASE_MS: f64 = 10.0;
@@ -336,6 +336,13 @@
         }
     }
 
+    /// Records the limit that an endpoint names in a response, or that it names none; true if it
+    /// changes.
+    pub fn record_limit(&mut self, id: &EndpointId, limit: Option<RequestRate>) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return false };
+        std::mem::replace(&mut endpoint.limit, limit) != limit
+    }
+
     /// Records for how long a request held its slot.
     pub fn record_hold_time(&mut self, id: &EndpointId, hold: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -2,7 +2,7 @@
 
 use super::{Distance, Listing, Load, Outcome, Size, Usage};
 use std::{collections::HashMap, time::Duration};
-use units::{InstanceId, Time, Tokens};
+use units::{InstanceId, RequestRate, Time, Tokens};
 
 /// Assumed slots of an endpoint that reports none; fewer than any endpoint reports.
 const UNKNOWN_SLOTS: u32 = 4;
@@ -59,6 +59,8 @@
     failed_at: Time,
     backoff_until: Time,
     next_backoff: Duration,
+    /// Requests that it takes from all nodes together.
+    pub(super) limit: Option<RequestRate>,
 }
 
 impl Endpoint {
@@ -78,6 +80,7 @@
             failed_at: Time::ZERO,
             backoff_until: Time::ZERO,
             next_backoff: MIN_BACKOFF,
+            limit: None,
         }
     }
 
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -13,6 +13,7 @@
 mod id;
 mod macros;
 mod number;
+mod rate;
 pub mod time;
 
 pub use self::{
@@ -22,5 +23,6 @@
         RequestId, ServiceId, TierId, ZoneId,
     },
     number::{Bytes, Permit, Rank, Tokens, TokensPerSecond, Version, Work},
+    rate::{InvalidRate, RequestRate},
     time::Time,
 };
