--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -83,6 +83,8 @@
     deadly_part: Option<Box<str>>,
     /// Whether responses end with their connection, without a length or chunks.
     unframed: bool,
+    /// Limit that responses name, in requests per second.
+    limit: Option<f64>,
     stop: watch::Sender<bool>,
 }
 
@@ -119,6 +121,7 @@
             pause: Duration::from_millis(5),
             deadly_part: None,
             unframed: false,
+            limit: None,
             stop,
         }));
         tokio::spawn(accept(listener, Arc::clone(&state), stopped));
@@ -161,6 +164,11 @@
         self.state.lock().unframed = true;
     }
 
+    /// Names a limit in responses, in requests per second, or none.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        self.state.lock().limit = limit;
+    }
+
     /// Whether the worker has crashed.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -294,9 +302,10 @@
         format!("X-Response-Signature: {id}.{attempt}\r\n")
     };
     let status = if fault == Fault::Error { "500 Internal Server Error" } else { "200 OK" };
-    let head = format!(
-        "HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\nX-Server-Load: 1,0,4,100\r\n{signature}"
-    );
+    let limit = state.lock().limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+    let limit = limit.unwrap_or_default();
+    let load = "X-Server-Load: 1,0,4,100\r\n";
+    let head = format!("HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\n{load}{limit}{signature}");
     match fault {
         Fault::HeadWithoutEnd => return write_without_end(stream, &head, "X-Pad: pad\r\n").await,
         Fault::BodyWithoutEnd => {
