Relay: nodes share the limits that endpoints name

Cause: no code used the limit, and a belief that one node holds reached no other.

Change: a response's limit, or its absence, is announced to all nodes at once, repeated by readers each second and sent to a node that starts (relay::announce, which evidence of crashes uses too). The newest response counts. In a small cluster 4 + floor(rate) nodes by rendezvous hashing have equal shares, each a token bucket of one request; in a large one the owner of the cell has the whole rate, and services with a limited endpoint get owners even without streams. An endpoint without a token counts as having no free slots. A rate under 0.1 a second counts as 0.1, so that some response tells that the limit has ended.

Ruled out: a share for each node (78 buckets of one request are more than 4 s of a limit of 3 a second); shares by demand (their sum may exceed the rate).

--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -31,7 +31,8 @@
 };
 use tokio::sync::{Notify, watch};
 use units::{
-    Fingerprint, OrganisationId, RequestId, ServiceId, Time, Tokens, Version, time::Clock,
+    EndpointId, Fingerprint, OrganisationId, RequestId, ServiceId, Time, Tokens, Version,
+    time::Clock,
 };
 
 /// Divisor for sharing an endpoint's connections: at most half of all nodes use one endpoint at the
@@ -108,8 +109,12 @@
     pub quarantine: RefCell<Tracker>,
     /// Traits whose evidence is to be sent to the other nodes.
     pub unsent_evidence: RefCell<BTreeSet<Fingerprint>>,
-    /// Notified when there are such traits.
-    pub evidence_changed: Notify,
+    /// Endpoints whose limit is to be sent to the other nodes.
+    pub unsent_limits: RefCell<BTreeSet<EndpointId>>,
+    /// Services with an endpoint that limits its requests.
+    pub limited_services: RefCell<BTreeSet<ServiceId>>,
+    /// Notified when there is something to announce to the other nodes.
+    pub announce_now: Notify,
     /// Permits that this node waits for and holds.
     pub permits: RefCell<Permits>,
     /// Permits that this node issues, and other cells.
@@ -162,7 +167,9 @@
             retry_budgets: RefCell::default(),
             quarantine: RefCell::default(),
             unsent_evidence: RefCell::default(),
-            evidence_changed: Notify::new(),
+            unsent_limits: RefCell::default(),
+            limited_services: RefCell::default(),
+            announce_now: Notify::new(),
             roster: RefCell::new(
                 Roster::new(settings.instance.clone()).with_regions(settings.region_count()),
             ),
@@ -248,8 +255,12 @@
     /// Whether the slots of a service are given out by one node in each zone.
     #[must_use]
     pub fn uses_owner(&self, service: &ServiceId) -> bool {
-        !self.roster.borrow().is_small()
-            && self.configuration.borrow().as_ref().is_some_and(|c| c.streamed().contains(service))
+        if self.roster.borrow().is_small() {
+            return false;
+        }
+        let configuration = self.configuration.borrow();
+        configuration.as_ref().is_some_and(|c| c.streamed().contains(service))
+            || self.limited_services.borrow().contains(service)
     }
 
     /// Whether this node gives out the slots of a service in its zone.
@@ -261,22 +272,28 @@
                 || self.roster.borrow().owner(service, now) == Owner::This)
     }
 
+    /// Services whose slots owners give out in a large cluster: those with streams, and those with an
+    /// endpoint that limits its requests.
+    fn services_with_owners(&self) -> BTreeSet<ServiceId> {
+        let configuration = self.configuration.borrow();
+        let streamed = configuration.iter().flat_map(|c| c.streamed()).cloned();
+        streamed.chain(self.limited_services.borrow().iter().cloned()).collect()
+    }
+
     /// Services whose slots this node gives out in its zone.
     #[must_use]
     pub fn owned_services(&self) -> Vec<ServiceId> {
-        let configuration = self.configuration.borrow().clone();
-        let streamed = configuration.iter().flat_map(|c| c.streamed());
-        streamed.filter(|service| self.is_owner(service)).cloned().collect()
+        let services = self.services_with_owners().into_iter();
+        services.filter(|service| self.is_owner(service)).collect()
     }
 
     /// Addresses of the other nodes that give out slots in this zone.
     #[must_use]
     pub fn current_owners(&self) -> Vec<SocketAddr> {
         let now = self.now();
+        let services = self.services_with_owners();
         let roster = self.roster.borrow();
-        let configuration = self.configuration.borrow();
-        let streamed = configuration.iter().flat_map(|c| c.streamed());
-        let owners = streamed.filter_map(|service| match roster.owner(service, now) {
+        let owners = services.iter().filter_map(|service| match roster.owner(service, now) {
             Owner::Peer(_, address) => Some(address),
             Owner::This => None,
         });
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -12,7 +12,7 @@
 use anyhow::{Context, Result};
 use sched::quarantine::Evidence;
 use serde::{Deserialize, Serialize};
-use units::{Fingerprint, InstanceId, OrganisationId, Version, ZoneId};
+use units::{EndpointId, Fingerprint, InstanceId, OrganisationId, RequestRate, Version, ZoneId};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// State of a node.
@@ -98,6 +98,19 @@
     pub age_ms: u32,
 }
 
+/// Limit that an endpoint named in a response.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limit {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Start time of its process, in Unix milliseconds.
+    pub born: Option<u64>,
+    /// Requests that it takes from all nodes together; none without a limit.
+    pub rate: Option<RequestRate>,
+    /// Age of the response, in ms.
+    pub age_ms: u32,
+}
+
 /// What nodes send to each other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -107,6 +120,8 @@
     Permits(Box<[Message]>),
     /// Evidence against what endpoints crashed under.
     Crashes(Box<[Evidence]>),
+    /// Limits that endpoints named, or that have ended.
+    Limits(Box<[Limit]>),
 }
 
 impl Datagram {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -514,6 +514,7 @@
     let waiter = dispatcher.waiters.remove(&job.request)?;
     let size = waiter.size;
     fleet.start(&choice.endpoint, size);
+    fleet.take_token(&choice.endpoint, now);
     Some((waiter.decision, Slot::new(board, service, size, choice)))
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,6 +12,7 @@
     dispatcher::{self, Slot},
     headers::Outbound,
     history::{Failure, History},
+    limits,
     pool::Connection,
     quarantine::{self, Site},
     reply::{self, Body, Refused, end_to_end, millis, response_head},
@@ -26,7 +27,7 @@
 use sched::{fleet::Outcome, quota::Quota};
 use slog::info;
 use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
-use units::{EndpointId, RequestRate, Tokens};
+use units::Tokens;
 
 /// Largest buffered response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -238,7 +239,7 @@
     let (parts, body) = response.into_parts();
     let head = board.headers.decode_response(parts.status, &parts.headers);
     slot.record_load(head.load);
-    record_limit(board, slot.endpoint(), head.limit);
+    limits::record(board, slot.endpoint(), head.limit);
     if let Err(failure) = check_response(accepted, parts.status, &head) {
         slot.release(match failure {
             Failure::NotRun(StatusCode::MISDIRECTED_REQUEST) => Outcome::WrongEndpoint,
@@ -253,15 +254,6 @@
     Ok(Response { slot, connection, head, parts, body })
 }
 
-/// Records the limit that an endpoint names in a response, or that it names none.
-fn record_limit(board: &Blackboard, endpoint: &EndpointId, limit: Option<RequestRate>) {
-    if board.fleet.borrow_mut().record_limit(endpoint, limit) {
-        info!(board.log, "endpoint limit"; Event::EndpointLimit, "endpoint" => %endpoint,
-            "per_second" => limit.map(RequestRate::per_second));
-        board.metrics.count("limit", if limit.is_some() { "named" } else { "ended" });
-    }
-}
-
 /// Reads a body that is not forwarded; true if it ended.
 async fn discard(body: Incoming) -> bool {
     let reading = Limited::new(body, MAX_DISCARDED_BYTES).collect();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 //! * only complete events are forwarded, in order and exactly once.
 
 pub mod admission;
+pub mod announce;
 pub mod authentication;
 pub mod blackboard;
 pub mod configuration;
@@ -48,6 +49,7 @@
 pub mod holder;
 pub mod journal;
 pub mod lifecycle;
+pub mod limits;
 pub mod memory;
 pub mod metrics;
 pub mod owner;
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -6,8 +6,9 @@
 //! its last response, or just before the grace period ends.
 
 use crate::{
+    announce,
     blackboard::{Blackboard, Phase},
-    discovery, dispatcher, holder, owner, peers, quarantine, serve, transfer,
+    discovery, dispatcher, holder, owner, peers, serve, transfer,
     watch::{self, Store},
 };
 use anyhow::Result;
@@ -82,7 +83,7 @@
     supervise(&board, &socket, "receive", peers::receive);
     supervise(&board, &socket, "broadcast", peers::broadcast);
     supervise(&board, &socket, "permits", peers::send_permits);
-    supervise(&board, &socket, "quarantine", quarantine::run);
+    supervise(&board, &socket, "announce", announce::run);
     supervise(&board, &changed, "reload", reload);
     supervise(&board, &Rc::new(()), "holder", |board, _| holder::confirm(board));
     supervise(&board, &Rc::new(()), "owner", |board, _| owner::run(board));
--- /dev/null
+++ b/crates/relay/src/limits.rs
@@ -0,0 +1,104 @@
+//! Limits that endpoints name in their responses, as known to all nodes.
+//!
+//! A node that sends nothing to an endpoint learns of its limit, and of the end
+//! of the limit, from the other nodes' announcements. The newest response counts;
+//! see [`sched::fleet`] for how nodes share a limit.
+
+use crate::{
+    blackboard::Blackboard,
+    digest::{Datagram, Limit},
+    dispatcher,
+};
+use codes::Event;
+use sched::fleet::{Naming, share};
+use slog::info;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use units::{EndpointId, RequestRate};
+
+/// Maximum number of limits in a datagram; one takes up to 50 bytes.
+const MAX_LIMITS: usize = 24;
+/// Time for which the end of a limit is repeated.
+const END_REPEATED_FOR: Duration = Duration::from_secs(10);
+
+/// Records the limit that an endpoint names in a response, or that it names none.
+pub fn record(board: &Blackboard, endpoint: &EndpointId, rate: Option<RequestRate>) {
+    let now = board.now();
+    if board.fleet.borrow_mut().record_limit(endpoint, Naming { rate, at: now }, now) {
+        log(board, endpoint, rate, "own");
+        update(board);
+        board.unsent_limits.borrow_mut().insert(endpoint.clone());
+        board.announce_now.notify_one();
+    }
+}
+
+fn log(board: &Blackboard, endpoint: &EndpointId, rate: Option<RequestRate>, source: &str) {
+    info!(board.log, "endpoint limit"; Event::EndpointLimit, "endpoint" => %endpoint,
+        "per_second" => rate.map(RequestRate::per_second), "source" => source);
+    board.metrics.count("limit", if rate.is_some() { "named" } else { "ended" });
+}
+
+/// Takes over limits that another node announces.
+pub fn merge(board: &Rc<Blackboard>, limits: &[Limit], from: SocketAddr) {
+    let now = board.now();
+    let mut changed = false;
+    for limit in limits {
+        let is_same = board
+            .fleet
+            .borrow()
+            .listing(&limit.endpoint)
+            .is_some_and(|listing| listing.born == limit.born);
+        let naming =
+            Naming { rate: limit.rate, at: now - Duration::from_millis(limit.age_ms.into()) };
+        if is_same && board.fleet.borrow_mut().record_limit(&limit.endpoint, naming, now) {
+            log(board, &limit.endpoint, limit.rate, &from.to_string());
+            changed = true;
+        }
+    }
+    if changed {
+        update(board);
+        dispatcher::dispatch_all(board);
+    }
+}
+
+/// Updates this node's shares of the endpoints' limits, and the services that have limited ones.
+pub fn update(board: &Blackboard) {
+    let now = board.now();
+    let roster = board.roster.borrow();
+    let nodes = u32::try_from(roster.live_count(now) + 1).unwrap_or(u32::MAX);
+    let mut fleet = board.fleet.borrow_mut();
+    let is_small = roster.is_small();
+    // In a large cluster, owners give out the slots, and other nodes have no share.
+    let share_of = |endpoint: &EndpointId, rate| {
+        if is_small { share(rate, roster.rank(endpoint.as_str(), now), nodes) } else { 0.0 }
+    };
+    fleet.set_limit_shares(share_of, now);
+    *board.limited_services.borrow_mut() = fleet.limited_services();
+}
+
+/// Announcements of changes that this node has learned from responses.
+pub fn take_unsent(board: &Blackboard) -> Vec<Datagram> {
+    let unsent = std::mem::take(&mut *board.unsent_limits.borrow_mut());
+    datagrams(board, unsent)
+}
+
+/// Limits in force, and those that have ended lately; if they are too many, some of them at random.
+pub fn summary(board: &Blackboard) -> Vec<Datagram> {
+    let since = board.now() - END_REPEATED_FOR;
+    let named: Vec<EndpointId> = board.fleet.borrow().named_limits(since).cloned().collect();
+    let start = if named.len() > MAX_LIMITS { rand::random_range(0..named.len()) } else { 0 };
+    let chosen = named.iter().cycle().skip(start).take(named.len().min(MAX_LIMITS));
+    datagrams(board, chosen.cloned())
+}
+
+fn datagrams(board: &Blackboard, endpoints: impl IntoIterator<Item = EndpointId>) -> Vec<Datagram> {
+    let now = board.now();
+    let fleet = board.fleet.borrow();
+    let limit = |endpoint: EndpointId| {
+        let Naming { rate, at } = fleet.limit_named(&endpoint)?;
+        let born = fleet.listing(&endpoint)?.born;
+        let age_ms = u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        Some(Limit { endpoint, born, rate, age_ms })
+    };
+    let limits: Vec<Limit> = endpoints.into_iter().filter_map(limit).collect();
+    limits.chunks(MAX_LIMITS).map(|limits| Datagram::Limits(limits.into())).collect()
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -9,9 +9,10 @@
 //! their own zone is full.
 
 use crate::{
+    announce,
     blackboard::Blackboard,
     digest::{Datagram, Digest, Load, Spent, short_hash},
-    directory, dispatcher, holder, owner,
+    directory, dispatcher, holder, limits, owner,
     permit::Message,
     quarantine,
     watch::REAPPEARANCE_TIME,
@@ -50,6 +51,7 @@
         Ok(Datagram::Digest(digest)) => digest,
         Ok(Datagram::Permits(messages)) => return handle_permits(board, messages, from),
         Ok(Datagram::Crashes(evidence)) => return quarantine::merge(board, &evidence, from),
+        Ok(Datagram::Limits(limits)) => return limits::merge(board, &limits, from),
         Err(e) => {
             board.metrics.count("datagram", "refused");
             return info!(board.log, "datagram refused"; Event::DatagramRefused,
@@ -69,7 +71,7 @@
         return;
     }
     if has_restarted {
-        quarantine::greet(board, socket, from);
+        announce::greet(board, socket, from);
     }
     apply_digest(board, &digest, now);
     let changed = digest.directory.as_ref().is_some_and(|delta| directory::merge(board, delta));
@@ -212,6 +214,7 @@
     fleet.set_owned(owned);
     fleet.allocate(share, interval, rand::random, now);
     drop(fleet);
+    limits::update(board);
     dispatcher::dispatch_all(board);
 }
 
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,14 +1,12 @@
 //! Quarantine of requests that crash endpoints, by all nodes.
 //!
-//! Load: see [`sched::quarantine`]. Each node sees only the crashes under its own
-//! requests, and no two crashes may be seen by the same node. A node therefore
-//! sends evidence to all others when it learns of a crash, and when a request
-//! clears suspected traits. Datagrams may be lost, and nodes start later, so the
-//! nodes that read the store repeat what matters every second, and send it to a
-//! node when they first hear from it.
+//! Load: see [`sched::quarantine`]. A node sees only the crashes under its own
+//! requests, so each node may see one of three crashes under the same part.
+//! Evidence, and what clears it, is therefore announced to all nodes, see
+//! [`crate::announce`].
 
 use crate::{
-    admission, blackboard::Blackboard, digest::Datagram, dispatcher::Slot, peers, reply::Refused,
+    admission, blackboard::Blackboard, digest::Datagram, dispatcher::Slot, reply::Refused,
 };
 use codes::{Code, Event};
 use sched::{
@@ -16,19 +14,15 @@
     quarantine::{CrashId, Evidence, Verdict},
 };
 use slog::info;
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::net::{TcpStream, UdpSocket};
-use units::{Fingerprint, Time};
+use std::{net::SocketAddr, time::Duration};
+use tokio::net::TcpStream;
+use units::Fingerprint;
 
 /// Time limit for the connection attempt that tells a crashed endpoint from a broken connection.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for which a response must go on before its request counts as sound. An endpoint may end
 /// just after the first event.
 pub const SURVIVAL_TIME: Duration = Duration::from_millis(250);
-/// Interval at which evidence is repeated.
-const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Time in which evidence is gathered for one datagram: that of the requests of one crash.
-const GATHER_TIME: Duration = Duration::from_millis(20);
 /// Maximum number of traits in a datagram; one takes up to 250 bytes.
 const MAX_TRAITS: usize = 24;
 /// Number of traits that are repeated.
@@ -81,7 +75,7 @@
     accepted: &admission::Request,
 ) -> Result<Option<Fingerprint>, Refused> {
     let now = board.now();
-    let rank = |fingerprint| board.roster.borrow().rank(fingerprint, now);
+    let rank = |fingerprint: Fingerprint| board.roster.borrow().rank(&fingerprint.to_string(), now);
     let quarantine = board.quarantine.borrow();
     match quarantine.verdict(&accepted.traits, rank, now) {
         Verdict::Clear => Ok(None),
@@ -140,7 +134,7 @@
 /// Has the evidence on these traits sent to all nodes.
 fn send(board: &Blackboard, traits: impl IntoIterator<Item = Fingerprint>) {
     board.unsent_evidence.borrow_mut().extend(traits);
-    board.evidence_changed.notify_one();
+    board.announce_now.notify_one();
 }
 
 fn log_suspicion(board: &Blackboard, fingerprint: Fingerprint, source: &str) {
@@ -162,44 +156,21 @@
     }
 }
 
-/// Sends what matters to a node that has just started, if this node reads the store.
-pub fn greet(board: &Blackboard, socket: &UdpSocket, to: SocketAddr) {
-    if !board.is_reader() {
-        return;
-    }
-    let evidence = {
-        let quarantine = board.quarantine.borrow();
-        quarantine.evidence(&quarantine.prominent(MAX_REPEATED), board.now())
-    };
-    if !evidence.is_empty() {
-        peers::send_to(board, socket, &Datagram::Crashes(evidence.into()), &[to]);
-    }
+/// Announcements of what this node has learned itself.
+pub fn take_unsent(board: &Blackboard) -> Vec<Datagram> {
+    let unsent = std::mem::take(&mut *board.unsent_evidence.borrow_mut());
+    let unsent: Vec<Fingerprint> = unsent.into_iter().collect();
+    datagrams(board, &unsent)
 }
 
-/// Sends new evidence to all other nodes, and repeats what matters to nodes that missed it.
-pub async fn run(board: Rc<Blackboard>, socket: Rc<UdpSocket>) {
-    let mut repeated = Time::ZERO;
-    loop {
-        let notified = board.evidence_changed.notified();
-        if tokio::time::timeout(REPEAT_INTERVAL, notified).await.is_ok() {
-            tokio::time::sleep(GATHER_TIME).await;
-        }
-        let now = board.now();
-        let mut traits: BTreeSet<Fingerprint> =
-            std::mem::take(&mut *board.unsent_evidence.borrow_mut());
-        if now.since(repeated) >= REPEAT_INTERVAL {
-            repeated = now;
-            board.quarantine.borrow_mut().prune(now);
-            let quarantine = board.quarantine.borrow();
-            if board.is_reader() {
-                traits.extend(quarantine.prominent(MAX_REPEATED));
-            }
-        }
-        let traits: Vec<Fingerprint> = traits.into_iter().collect();
-        for traits in traits.chunks(MAX_TRAITS) {
-            let evidence = board.quarantine.borrow().evidence(traits, now);
-            let nodes = board.roster.borrow().addresses(true);
-            peers::send_to(&board, &socket, &Datagram::Crashes(evidence.into()), &nodes);
-        }
-    }
+/// The evidence that matters most.
+pub fn summary(board: &Blackboard) -> Vec<Datagram> {
+    let prominent = board.quarantine.borrow().prominent(MAX_REPEATED);
+    datagrams(board, &prominent)
+}
+
+fn datagrams(board: &Blackboard, traits: &[Fingerprint]) -> Vec<Datagram> {
+    let quarantine = board.quarantine.borrow();
+    let evidence = |traits| Datagram::Crashes(quarantine.evidence(traits, board.now()).into());
+    traits.chunks(MAX_TRAITS).map(evidence).collect()
 }
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use sched::fleet::Distance;
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
-use units::{Fingerprint, InstanceId, ServiceId, Time, Version};
+use units::{InstanceId, ServiceId, Time, Version};
 
 /// Shortest interval between digests: a tenth of the time for which a stream holds its slot.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -323,13 +323,12 @@
             || !store_lost && ahead(&|peer| is_candidate(peer) && !peer.store_lost) < readers
     }
 
-    /// Number of live nodes that come before this one for a fingerprint, by rendezvous hashing.
+    /// Number of live nodes that come before this one for a key, by rendezvous hashing.
     #[must_use]
-    pub fn rank(&self, fingerprint: Fingerprint, now: Time) -> u32 {
-        let key = fingerprint.to_string();
-        let mine = self.instance.as_ref().map(|id| units::score(id.as_str(), &key));
-        let ahead =
-            self.live_peers(now).filter(|(id, _)| Some(units::score(id.as_str(), &key)) > mine);
+    pub fn rank(&self, key: &str, now: Time) -> u32 {
+        let score = |id: &InstanceId| units::score(id.as_str(), key);
+        let mine = self.instance.as_ref().map(score);
+        let ahead = self.live_peers(now).filter(|(id, _)| Some(score(id)) > mine);
         u32::try_from(ahead.count()).unwrap_or(u32::MAX)
     }
 
--- a/crates/relay/tests/nodes/quarantine.rs
+++ b/crates/relay/tests/nodes/quarantine.rs
@@ -1,7 +1,7 @@
 //! Evidence against what endpoints crash under, between nodes that missed it.
 
 use super::support::{digest, introduce, node, run};
-use relay::{Blackboard, digest::Datagram, peers, quarantine};
+use relay::{Blackboard, announce, digest::Datagram, peers};
 use sched::quarantine::{Crash, CrashId, Evidence, Verdict};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{net::UdpSocket, task::spawn_local};
@@ -52,7 +52,7 @@
         introduce(&sender, "n-2", address, "a", 12);
         introduce(&missed, "n-1", from, "a", 12);
         crash_endpoints(&sender);
-        spawn_local(quarantine::run(Rc::clone(&sender), socket));
+        spawn_local(announce::run(Rc::clone(&sender), socket));
         assert!(refuses_within(&missed, Duration::from_secs(3)).await);
     });
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -35,16 +35,21 @@
 //! endpoints there on behalf of the others ([`Fleet::set_owned`]), and no
 //! others.
 //!
+//! An endpoint in need names a rate that it takes from all nodes together. Nodes
+//! share it, see `limit`.
+//!
 //! Invariants:
 //! * an endpoint that is leaving or gone is never selected;
 //! * an endpoint never gets more requests than it has slots, including the
 //!   peers' requests, as far as this node knows.
 
 mod endpoint;
+mod limit;
 mod slots;
 mod types;
 
-pub use types::{Capacity, Choice, Distance, Listing, Load, Outcome, Query, Size, Usage};
+pub use limit::share;
+pub use types::{Capacity, Choice, Distance, Listing, Load, Naming, Outcome, Query, Size, Usage};
 
 use endpoint::{Endpoint, SLOWDOWN_BOUNDS};
 use std::{
@@ -213,8 +218,9 @@
             if endpoint.listing.service != *service || endpoint.listing.leaving {
                 continue;
             }
-            let free =
-                endpoint.slots().saturating_sub(endpoint.load(self.usage_ttl, now).in_flight);
+            let in_flight = endpoint.load(self.usage_ttl, now).in_flight;
+            let is_open = endpoint.is_within_limit(now);
+            let free = if is_open { endpoint.slots().saturating_sub(in_flight) } else { 0 };
             capacity.slots += endpoint.slots();
             capacity.free += free;
             if endpoint.distance == Distance::SameZone {
@@ -251,7 +257,11 @@
 
     fn has_capacity(&self, endpoint: &Endpoint, query: &Query<'_>, now: Time) -> bool {
         let listing = &endpoint.listing;
-        if listing.service != *query.service || listing.leaving || endpoint.is_backing_off(now) {
+        if listing.service != *query.service
+            || listing.leaving
+            || endpoint.is_backing_off(now)
+            || !endpoint.is_within_limit(now)
+        {
             return false;
         }
         let usage = endpoint.load(self.usage_ttl, now);
@@ -336,11 +346,49 @@
         }
     }
 
-    /// Records the limit that an endpoint names in a response, or that it names none; true if it
-    /// changes.
-    pub fn record_limit(&mut self, id: &EndpointId, limit: Option<RequestRate>) -> bool {
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return false };
-        std::mem::replace(&mut endpoint.limit, limit) != limit
+    /// Records the limit that an endpoint named in a response; true if it changes.
+    pub fn record_limit(&mut self, id: &EndpointId, naming: Naming, now: Time) -> bool {
+        self.endpoints.get_mut(id).is_some_and(|endpoint| endpoint.record_limit(naming, now))
+    }
+
+    /// Limit of an endpoint, and when it was last named; none if no response is known.
+    #[must_use]
+    pub fn limit_named(&self, id: &EndpointId) -> Option<Naming> {
+        let endpoint = self.endpoints.get(id)?;
+        Some(Naming { rate: endpoint.limit.map(|limit| limit.rate), at: endpoint.limit_at? })
+    }
+
+    /// Endpoints with a limit, and those whose limit has ended after `since`.
+    pub fn named_limits(&self, since: Time) -> impl Iterator<Item = &EndpointId> {
+        let matters =
+            move |e: &Endpoint| e.limit.is_some() || e.limit_changed.is_some_and(|at| at > since);
+        self.endpoints.iter().filter(move |(_, e)| matters(e)).map(|(id, _)| id)
+    }
+
+    /// Services with a limited endpoint.
+    #[must_use]
+    pub fn limited_services(&self) -> BTreeSet<ServiceId> {
+        let limited = self.endpoints.values().filter(|endpoint| endpoint.limit.is_some());
+        limited.map(|endpoint| endpoint.listing.service.clone()).collect()
+    }
+
+    /// Sets this node's shares of the endpoints' limits: all of it where it gives out the slots,
+    /// `share` elsewhere.
+    pub fn set_limit_shares(&mut self, share: impl Fn(&EndpointId, RequestRate) -> f64, now: Time) {
+        for (id, endpoint) in &mut self.endpoints {
+            let Some(limit) = &mut endpoint.limit else { continue };
+            let is_owned = endpoint.distance == Distance::SameZone
+                && self.owned.contains(&endpoint.listing.service);
+            let share = if is_owned { 1.0 } else { share(id, limit.rate) };
+            limit.set(limit.rate, share, now);
+        }
+    }
+
+    /// Records a request that is being sent to an endpoint with its limit.
+    pub fn take_token(&mut self, id: &EndpointId, now: Time) {
+        if let Some(limit) = self.endpoints.get_mut(id).and_then(|e| e.limit.as_mut()) {
+            limit.take(now);
+        }
     }
 
     /// Records for how long a request held its slot.
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -1,8 +1,8 @@
 //! State of one endpoint as known to this node, learned from the endpoint's responses.
 
-use super::{Distance, Listing, Load, Outcome, Size, Usage};
+use super::{Distance, Listing, Load, Naming, Outcome, Size, Usage, limit::Limit};
 use std::{collections::HashMap, time::Duration};
-use units::{InstanceId, RequestRate, Time, Tokens};
+use units::{InstanceId, Time, Tokens};
 
 /// Assumed slots of an endpoint that reports none; fewer than any endpoint reports.
 const UNKNOWN_SLOTS: u32 = 4;
@@ -60,7 +60,11 @@
     backoff_until: Time,
     next_backoff: Duration,
     /// Requests that it takes from all nodes together.
-    pub(super) limit: Option<RequestRate>,
+    pub(super) limit: Option<Limit>,
+    /// When a response last named a limit or none.
+    pub(super) limit_at: Option<Time>,
+    /// When the limit last changed.
+    pub(super) limit_changed: Option<Time>,
 }
 
 impl Endpoint {
@@ -81,6 +85,8 @@
             backoff_until: Time::ZERO,
             next_backoff: MIN_BACKOFF,
             limit: None,
+            limit_at: None,
+            limit_changed: None,
         }
     }
 
@@ -193,6 +199,29 @@
         self.slowdown_at = now;
     }
 
+    /// Whether its limit allows this node another request now.
+    pub(super) fn is_within_limit(&self, now: Time) -> bool {
+        self.limit.is_none_or(|limit| limit.has_token(now))
+    }
+
+    /// Records the limit that a response named; true if it changes.
+    pub(super) fn record_limit(&mut self, naming: Naming, now: Time) -> bool {
+        if self.limit_at.is_some_and(|at| naming.at < at) {
+            return false;
+        }
+        self.limit_at = Some(naming.at);
+        let known = self.limit.map(|limit| limit.rate);
+        if known == naming.rate {
+            return false;
+        }
+        self.limit_changed = Some(now);
+        match (&mut self.limit, naming.rate) {
+            (Some(limit), Some(rate)) => limit.set(rate, limit.share(), now),
+            (limit, rate) => *limit = rate.map(|rate| Limit::new(rate, now)),
+        }
+        true
+    }
+
     /// Records for how long a request held its slot.
     pub(super) fn record_hold_time(&mut self, hold: Duration) {
         let sample = hold.as_secs_f64() * 1_000.0;
--- a/crates/sched/src/fleet/types.rs
+++ b/crates/sched/src/fleet/types.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
-use units::{EndpointId, ServiceId, Tokens, ZoneId};
+use units::{EndpointId, RequestRate, ServiceId, Time, Tokens, ZoneId};
 
 /// Distance of an endpoint from this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,6 +58,15 @@
     pub slowdown: f64,
 }
 
+/// Limit that an endpoint named in a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Naming {
+    /// Requests that it takes from all nodes together; none without a limit.
+    pub rate: Option<RequestRate>,
+    /// When it responded.
+    pub at: Time,
+}
+
 /// Requests of a node in flight at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Usage {
