Relay: a response of another endpoint does not end a limit

What callers saw: nothing yet; found while reading the change. Cause: the limit was taken from every response, also from a rejection by an endpoint that has started at the address since, or an answer to another request. It names no limit, so that all nodes were told that the limit had ended.

Change: only responses that come from the endpoint and answer the request count.

Ruled out: that rejections for lack of room end a limit; they name it. Conclusion: what one node concludes binds all, so its source is checked.

--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -159,6 +159,11 @@
         self.state.lock().deadly_part = Some(part.into());
     }
 
+    /// Changes the identifier, as if another worker had started at the address.
+    pub fn rename(&self, id: &str) {
+        self.state.lock().id = id.to_owned();
+    }
+
     /// Sends responses that have neither a length nor chunks and end with their connection.
     pub fn set_unframed(&self) {
         self.state.lock().unframed = true;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -239,8 +239,11 @@
     let (parts, body) = response.into_parts();
     let head = board.headers.decode_response(parts.status, &parts.headers);
     slot.record_load(head.load);
-    limits::record(board, slot.endpoint(), head.limit);
-    if let Err(failure) = check_response(accepted, parts.status, &head) {
+    let checked = check_response(accepted, parts.status, &head);
+    if is_from_endpoint(&checked) {
+        limits::record(board, slot.endpoint(), head.limit);
+    }
+    if let Err(failure) = checked {
         slot.release(match failure {
             Failure::NotRun(StatusCode::MISDIRECTED_REQUEST) => Outcome::WrongEndpoint,
             Failure::NotRun(_) => Outcome::AtCapacity,
@@ -317,6 +320,15 @@
     Ok(())
 }
 
+/// Whether a response comes from the endpoint that the request was for, and answers the request.
+fn is_from_endpoint(checked: &Result<(), Failure>) -> bool {
+    match checked {
+        Ok(()) => true,
+        Err(Failure::NotRun(status)) => *status != StatusCode::MISDIRECTED_REQUEST,
+        Err(_) => false,
+    }
+}
+
 fn endpoint_request(
     board: &Blackboard,
     accepted: &admission::Request,
