--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -156,7 +156,8 @@
         submission.cost = Tokens(0);
         let slot =
             slot.map_err(|refusal| history.refuse_unplaced(accepted, refusal, board.now()))?;
-        quarantine::check_out(board, accepted).map_err(|refused| history.refuse_again(refused))?;
+        quarantine::check_attempt(board, accepted)
+            .map_err(|refused| history.refuse_again(refused))?;
         let endpoint = slot.endpoint().clone();
         let received = match send(board, accepted, slot, accepted.head.resume_after).await {
             Ok(received) => received,
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -6,11 +6,11 @@
 
 use crate::{
     blackboard::Blackboard,
-    digest::{Datagram, Limit},
+    digest::{self, Datagram},
     dispatcher,
 };
 use codes::Event;
-use sched::fleet::{Naming, share};
+use sched::fleet::{Limit, share};
 use slog::info;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use units::{EndpointId, RequestRate};
@@ -23,7 +23,7 @@
 /// Records the limit that an endpoint names in a response, or that it names none.
 pub fn record(board: &Blackboard, endpoint: &EndpointId, rate: Option<RequestRate>) {
     let now = board.now();
-    if board.fleet.borrow_mut().record_limit(endpoint, Naming { rate, at: now }, now) {
+    if board.fleet.borrow_mut().record_limit(endpoint, Limit { rate, at: now }, now) {
         log(board, endpoint, rate, "own");
         update(board);
         board.unsent_limits.borrow_mut().insert(endpoint.clone());
@@ -38,7 +38,7 @@
 }
 
 /// Takes over limits that another node announces.
-pub fn merge(board: &Rc<Blackboard>, limits: &[Limit], from: SocketAddr) {
+pub fn merge(board: &Rc<Blackboard>, limits: &[digest::Limit], from: SocketAddr) {
     let now = board.now();
     let mut changed = false;
     for limit in limits {
@@ -47,9 +47,9 @@
             .borrow()
             .listing(&limit.endpoint)
             .is_some_and(|listing| listing.born == limit.born);
-        let naming =
-            Naming { rate: limit.rate, at: now - Duration::from_millis(limit.age_ms.into()) };
-        if is_same && board.fleet.borrow_mut().record_limit(&limit.endpoint, naming, now) {
+        let newer =
+            Limit { rate: limit.rate, at: now - Duration::from_millis(limit.age_ms.into()) };
+        if is_same && board.fleet.borrow_mut().record_limit(&limit.endpoint, newer, now) {
             log(board, &limit.endpoint, limit.rate, &from.to_string());
             changed = true;
         }
@@ -84,9 +84,9 @@
 /// Limits in force, and those that have ended lately; if they are too many, some of them at random.
 pub fn summary(board: &Blackboard) -> Vec<Datagram> {
     let since = board.now() - END_REPEATED_FOR;
-    let named: Vec<EndpointId> = board.fleet.borrow().named_limits(since).cloned().collect();
-    let start = if named.len() > MAX_LIMITS { rand::random_range(0..named.len()) } else { 0 };
-    let chosen = named.iter().cycle().skip(start).take(named.len().min(MAX_LIMITS));
+    let limited: Vec<EndpointId> = board.fleet.borrow().limited(since).cloned().collect();
+    let start = if limited.len() > MAX_LIMITS { rand::random_range(0..limited.len()) } else { 0 };
+    let chosen = limited.iter().cycle().skip(start).take(limited.len().min(MAX_LIMITS));
     datagrams(board, chosen.cloned())
 }
 
@@ -94,11 +94,11 @@
     let now = board.now();
     let fleet = board.fleet.borrow();
     let limit = |endpoint: EndpointId| {
-        let Naming { rate, at } = fleet.limit_named(&endpoint)?;
+        let Limit { rate, at } = fleet.limit(&endpoint)?;
         let born = fleet.listing(&endpoint)?.born;
         let age_ms = u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        Some(Limit { endpoint, born, rate, age_ms })
+        Some(digest::Limit { endpoint, born, rate, age_ms })
     };
-    let limits: Vec<Limit> = endpoints.into_iter().filter_map(limit).collect();
+    let limits: Vec<digest::Limit> = endpoints.into_iter().filter_map(limit).collect();
     limits.chunks(MAX_LIMITS).map(|limits| Datagram::Limits(limits.into())).collect()
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -52,11 +52,11 @@
     verdict(board, accepted).map(|_| ())
 }
 
-/// As [`check`], before a request is sent: a trial begins if it is one.
+/// As [`check`], just before a request is sent. A request that tries a trait is recorded as the trial.
 ///
 /// # Errors
 /// The refusal.
-pub fn check_out(board: &Blackboard, accepted: &admission::Request) -> Result<(), Refused> {
+pub fn check_attempt(board: &Blackboard, accepted: &admission::Request) -> Result<(), Refused> {
     if let Some(fingerprint) = verdict(board, accepted)? {
         let now = board.now();
         board.quarantine.borrow_mut().record_trial(fingerprint, now);
@@ -64,7 +64,7 @@
             "request" => &*accepted.head.attempt, "fingerprint" => %fingerprint,
             "crashes" => board.quarantine.borrow().crashes(fingerprint));
         board.metrics.count("quarantine", "tried");
-        send(board, [fingerprint]);
+        queue_evidence(board, [fingerprint]);
     }
     Ok(())
 }
@@ -128,11 +128,11 @@
     for fingerprint in &changed {
         log_suspicion(board, *fingerprint, "own");
     }
-    send(board, changed);
+    queue_evidence(board, changed);
 }
 
 /// Has the evidence on these traits sent to all nodes.
-fn send(board: &Blackboard, traits: impl IntoIterator<Item = Fingerprint>) {
+fn queue_evidence(board: &Blackboard, traits: impl IntoIterator<Item = Fingerprint>) {
     board.unsent_evidence.borrow_mut().extend(traits);
     board.announce_now.notify_one();
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -439,7 +439,7 @@
     loop {
         let slot = dispatcher::acquire_slot(&board, &submission, &history.tried).await;
         let slot = slot.map_err(|refusal| refusal.code.to_string())?;
-        quarantine::check_out(&board, &accepted).map_err(|refused| refused.cause)?;
+        quarantine::check_attempt(&board, &accepted).map_err(|refused| refused.cause)?;
         let endpoint = slot.endpoint().clone();
         let sent = exchange::send(&board, &accepted, slot, last).await;
         let failure = match sent {
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -49,7 +49,7 @@
 mod types;
 
 pub use limit::share;
-pub use types::{Capacity, Choice, Distance, Listing, Load, Naming, Outcome, Query, Size, Usage};
+pub use types::{Capacity, Choice, Distance, Limit, Listing, Load, Outcome, Query, Size, Usage};
 
 use endpoint::{Endpoint, SLOWDOWN_BOUNDS};
 use std::{
@@ -347,28 +347,28 @@
     }
 
     /// Records the limit that an endpoint named in a response; true if it changes.
-    pub fn record_limit(&mut self, id: &EndpointId, naming: Naming, now: Time) -> bool {
-        self.endpoints.get_mut(id).is_some_and(|endpoint| endpoint.record_limit(naming, now))
+    pub fn record_limit(&mut self, id: &EndpointId, limit: Limit, now: Time) -> bool {
+        self.endpoints.get_mut(id).is_some_and(|endpoint| endpoint.record_limit(limit, now))
     }
 
     /// Limit of an endpoint, and when it was last named; none if no response is known.
     #[must_use]
-    pub fn limit_named(&self, id: &EndpointId) -> Option<Naming> {
+    pub fn limit(&self, id: &EndpointId) -> Option<Limit> {
         let endpoint = self.endpoints.get(id)?;
-        Some(Naming { rate: endpoint.limit.map(|limit| limit.rate), at: endpoint.limit_at? })
+        Some(Limit { rate: endpoint.bucket.map(|bucket| bucket.rate), at: endpoint.limit_at? })
     }
 
     /// Endpoints with a limit, and those whose limit has ended after `since`.
-    pub fn named_limits(&self, since: Time) -> impl Iterator<Item = &EndpointId> {
+    pub fn limited(&self, since: Time) -> impl Iterator<Item = &EndpointId> {
         let matters =
-            move |e: &Endpoint| e.limit.is_some() || e.limit_changed.is_some_and(|at| at > since);
+            move |e: &Endpoint| e.bucket.is_some() || e.limit_changed.is_some_and(|at| at > since);
         self.endpoints.iter().filter(move |(_, e)| matters(e)).map(|(id, _)| id)
     }
 
     /// Services with a limited endpoint.
     #[must_use]
     pub fn limited_services(&self) -> BTreeSet<ServiceId> {
-        let limited = self.endpoints.values().filter(|endpoint| endpoint.limit.is_some());
+        let limited = self.endpoints.values().filter(|endpoint| endpoint.bucket.is_some());
         limited.map(|endpoint| endpoint.listing.service.clone()).collect()
     }
 
@@ -376,18 +376,18 @@
     /// `share` elsewhere.
     pub fn set_limit_shares(&mut self, share: impl Fn(&EndpointId, RequestRate) -> f64, now: Time) {
         for (id, endpoint) in &mut self.endpoints {
-            let Some(limit) = &mut endpoint.limit else { continue };
+            let Some(bucket) = &mut endpoint.bucket else { continue };
             let is_owned = endpoint.distance == Distance::SameZone
                 && self.owned.contains(&endpoint.listing.service);
-            let share = if is_owned { 1.0 } else { share(id, limit.rate) };
-            limit.set(limit.rate, share, now);
+            let share = if is_owned { 1.0 } else { share(id, bucket.rate) };
+            bucket.set(bucket.rate, share, now);
         }
     }
 
     /// Records a request that is being sent to an endpoint with its limit.
     pub fn take_token(&mut self, id: &EndpointId, now: Time) {
-        if let Some(limit) = self.endpoints.get_mut(id).and_then(|e| e.limit.as_mut()) {
-            limit.take(now);
+        if let Some(bucket) = self.endpoints.get_mut(id).and_then(|e| e.bucket.as_mut()) {
+            bucket.take(now);
         }
     }
 
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -1,6 +1,6 @@
 //! State of one endpoint as known to this node, learned from the endpoint's responses.
 
-use super::{Distance, Listing, Load, Naming, Outcome, Size, Usage, limit::Limit};
+use super::{Distance, Limit, Listing, Load, Outcome, Size, Usage, limit::Bucket};
 use std::{collections::HashMap, time::Duration};
 use units::{InstanceId, Time, Tokens};
 
@@ -59,8 +59,8 @@
     failed_at: Time,
     backoff_until: Time,
     next_backoff: Duration,
-    /// Requests that it takes from all nodes together.
-    pub(super) limit: Option<Limit>,
+    /// This node's share of its limit, if it names one.
+    pub(super) bucket: Option<Bucket>,
     /// When a response last named a limit or none.
     pub(super) limit_at: Option<Time>,
     /// When the limit last changed.
@@ -84,7 +84,7 @@
             failed_at: Time::ZERO,
             backoff_until: Time::ZERO,
             next_backoff: MIN_BACKOFF,
-            limit: None,
+            bucket: None,
             limit_at: None,
             limit_changed: None,
         }
@@ -201,23 +201,23 @@
 
     /// Whether its limit allows this node another request now.
     pub(super) fn is_within_limit(&self, now: Time) -> bool {
-        self.limit.is_none_or(|limit| limit.has_token(now))
+        self.bucket.is_none_or(|bucket| bucket.has_token(now))
     }
 
     /// Records the limit that a response named; true if it changes.
-    pub(super) fn record_limit(&mut self, naming: Naming, now: Time) -> bool {
-        if self.limit_at.is_some_and(|at| naming.at < at) {
+    pub(super) fn record_limit(&mut self, limit: Limit, now: Time) -> bool {
+        if self.limit_at.is_some_and(|at| limit.at < at) {
             return false;
         }
-        self.limit_at = Some(naming.at);
-        let known = self.limit.map(|limit| limit.rate);
-        if known == naming.rate {
+        self.limit_at = Some(limit.at);
+        let known = self.bucket.map(|bucket| bucket.rate);
+        if known == limit.rate {
             return false;
         }
         self.limit_changed = Some(now);
-        match (&mut self.limit, naming.rate) {
-            (Some(limit), Some(rate)) => limit.set(rate, limit.share(), now),
-            (limit, rate) => *limit = rate.map(|rate| Limit::new(rate, now)),
+        match (&mut self.bucket, limit.rate) {
+            (Some(bucket), Some(rate)) => bucket.set(rate, bucket.share(), now),
+            (bucket, rate) => *bucket = rate.map(|rate| Bucket::new(rate, now)),
         }
         true
     }
--- a/crates/sched/src/fleet/limit.rs
+++ b/crates/sched/src/fleet/limit.rs
@@ -24,9 +24,9 @@
     if f64::from(rank) < sharers { 1.0 / sharers } else { 0.0 }
 }
 
-/// Limit of an endpoint, and this node's tokens.
+/// Token bucket for this node's share of an endpoint's limit.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Limit {
+pub(super) struct Bucket {
     pub(super) rate: RequestRate,
     /// Share of this node, from 0 to 1.
     share: f64,
@@ -34,8 +34,8 @@
     at: Time,
 }
 
-impl Limit {
-    /// Limit without tokens.
+impl Bucket {
+    /// Empty bucket.
     pub(super) fn new(rate: RequestRate, now: Time) -> Self {
         Self { rate, share: 0.0, tokens: 0.0, at: now }
     }
--- a/crates/sched/src/fleet/types.rs
+++ b/crates/sched/src/fleet/types.rs
@@ -60,7 +60,7 @@
 
 /// Limit that an endpoint named in a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Naming {
+pub struct Limit {
     /// Requests that it takes from all nodes together; none without a limit.
     pub rate: Option<RequestRate>,
     /// When it responded.
--- a/crates/sched/tests/limit.rs
+++ b/crates/sched/tests/limit.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use proptest::prelude::*;
-use sched::fleet::{Distance, Fleet, Listing, Naming, Outcome, Query, Size, share};
+use sched::fleet::{Distance, Fleet, Limit, Listing, Outcome, Query, Size, share};
 use std::time::Duration;
 use units::{EndpointId, RequestRate, ServiceId, Time, Tokens, ZoneId};
 
@@ -37,7 +37,7 @@
         born: None,
     };
     fleet.upsert(listing, Distance::SameZone, at(0));
-    fleet.record_limit(&endpoint(), Naming { rate: Some(rate), at: at(0) }, at(0));
+    fleet.record_limit(&endpoint(), Limit { rate: Some(rate), at: at(0) }, at(0));
     fleet
 }
 
@@ -115,13 +115,13 @@
 #[test]
 fn the_newest_response_counts() {
     let mut fleet = fleet(RequestRate(2_000));
-    let ended = Naming { rate: None, at: at(9) };
+    let ended = Limit { rate: None, at: at(9) };
     assert!(fleet.record_limit(&endpoint(), ended, at(10)));
-    let older = Naming { rate: Some(RequestRate(2_000)), at: at(8) };
+    let older = Limit { rate: Some(RequestRate(2_000)), at: at(8) };
     assert!(!fleet.record_limit(&endpoint(), older, at(11)));
     assert!(fleet.limited_services().is_empty());
-    assert_eq!(fleet.named_limits(at(9)).count(), 1, "the end is repeated for a while");
-    assert_eq!(fleet.named_limits(at(10)).count(), 0);
+    assert_eq!(fleet.limited(at(9)).count(), 1, "the end is repeated for a while");
+    assert_eq!(fleet.limited(at(10)).count(), 0);
 }
 
 #[test]
