Relay: evidence is repeated to a few nodes, so that its bytes do not grow

Cause: the nodes that read the store repeated the evidence to all other nodes each second. What a reader sends so grows with the cluster, and at 360 nodes goes beyond the 23 KB/s that a node may spend on control.

Change: each node repeats the evidence every second to two others, chosen at random; one that missed it is told twice in a second on average. A node that starts is still told by the readers at its first digest. Limits are repeated as before.

Ruled out: fewer traits or a longer interval, as a node that missed a crash may not act later than 4 s; a tree of nodes, which one dead node would cut.

Measured: repeated_evidence_does_not_exceed_the_bytes_for_control failed before with 42,876 bytes a second received (more were sent; the socket was full), and passes. All tests of relay pass.

--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -1,8 +1,10 @@
 //! Announcements to all other nodes: evidence of crashes, and limits of endpoints.
 //!
 //! What a node learns from a response goes to all others at once, since each may
-//! use the endpoint next. Datagrams may be lost, and nodes start later, so the
-//! nodes that read the store repeat what matters every second, and send it to a
+//! use the endpoint next. Datagrams may be lost, and nodes start later. Each node
+//! therefore repeats the evidence that matters every second to a few others,
+//! chosen at random, so that what a node sends does not grow with the cluster.
+//! The nodes that read the store repeat limits to all others, and send both to a
 //! node when they first hear from it.
 
 use crate::{blackboard::Blackboard, digest::Datagram, limits, peers, quarantine};
@@ -12,6 +14,9 @@
 
 /// Interval at which announcements are repeated.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of nodes to which a node repeats evidence each time. As all nodes do so, one that missed
+/// the evidence is told twice in an interval on average.
+const REPEAT_FANOUT: usize = 2;
 /// Time in which news are gathered for one datagram: that of the requests of one crash.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
@@ -45,8 +50,12 @@
         if now.since(repeated) >= REPEAT_INTERVAL {
             repeated = now;
             board.quarantine.borrow_mut().prune(now);
+            let some = board.roster.borrow().sample(REPEAT_FANOUT);
+            for datagram in quarantine::summary(&board) {
+                peers::send_to(&board, &socket, &datagram, &some);
+            }
             if board.is_reader() {
-                datagrams.extend(summary(&board));
+                datagrams.extend(limits::summary(&board));
             }
         }
         if datagrams.is_empty() {
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -7,7 +7,7 @@
     digest::{Digest, Waiting, short_hash},
     transfer::Kind,
 };
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use sched::fleet::Distance;
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 use units::{InstanceId, ServiceId, Time, Version};
@@ -462,6 +462,13 @@
         recipients.map(|peer| peer.address).collect()
     }
 
+    /// Addresses of `count` nodes at random, or of all if they are fewer.
+    #[must_use]
+    pub fn sample(&self, count: usize) -> Vec<SocketAddr> {
+        let peers = self.peers.values().choose_multiple(&mut rand::rng(), count);
+        peers.into_iter().map(|peer| peer.address).collect()
+    }
+
     /// Number of nodes that exchange digests at the interval of the zone, including this one.
     #[must_use]
     pub fn zone_node_count(&self) -> usize {
--- a/crates/relay/tests/nodes/quarantine.rs
+++ b/crates/relay/tests/nodes/quarantine.rs
@@ -3,11 +3,17 @@
 use super::support::{digest, introduce, node, run};
 use relay::{Blackboard, announce, digest::Datagram, peers};
 use sched::quarantine::{Crash, CrashId, Evidence, Verdict};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::{net::UdpSocket, task::spawn_local};
 use units::{EndpointId, Fingerprint};
 
 const DEADLY: Fingerprint = Fingerprint(7);
+/// Bytes that a node of a large cluster may send for control each second.
+const CONTROL_BYTES_PER_S: f64 = 23_000.0;
 
 /// Node that receives datagrams and sends evidence.
 async fn start(name: &str, number: u8) -> (Rc<Blackboard>, Rc<UdpSocket>, SocketAddr) {
@@ -71,3 +77,37 @@
         assert!(refuses_within(&restarted, Duration::from_millis(500)).await);
     });
 }
+
+/// One node of 360 repeats as much evidence as it can hold to the others.
+#[test]
+fn repeated_evidence_does_not_exceed_the_bytes_for_control() {
+    run(async {
+        let (sender, socket, _) = start("n-0", 25).await;
+        let others = UdpSocket::bind((super::support::address(26), 0)).await.unwrap();
+        let address = others.local_addr().unwrap();
+        for number in 1..360 {
+            introduce(&sender, &format!("n-{number}"), address, "a", 12);
+        }
+        for number in 0..24 {
+            for crash in 0..16 {
+                let endpoint = EndpointId::new(&format!("e-{number}-{crash}")).unwrap();
+                let id = CrashId::new(&endpoint, None);
+                let now = sender.now() + Duration::from_millis(crash * 200);
+                sender.quarantine.borrow_mut().record_crash(&[Fingerprint(number)], id, now);
+            }
+        }
+        let started = Instant::now();
+        spawn_local(announce::run(Rc::clone(&sender), socket));
+        let mut buffer = [0; 65_536];
+        let mut bytes = 0;
+        let count = async {
+            loop {
+                bytes += others.recv(&mut buffer).await.unwrap();
+            }
+        };
+        tokio::time::timeout(Duration::from_millis(3_500), count).await.unwrap_err();
+        let per_second = f64::from(u32::try_from(bytes).unwrap()) / started.elapsed().as_secs_f64();
+        assert!(bytes > 0, "nothing is repeated");
+        assert!(per_second <= CONTROL_BYTES_PER_S, "{per_second} bytes a second");
+    });
+}
