Relay: evidence on suspected parts is saved, so that it survives the end of all nodes

What callers saw: after a restart of all nodes, requests with the part crash three more endpoints, each with a dozen sound streams. Cause: nodes kept what they had learned from crashes in memory only.

Change: the node that saw the last crash of a suspected trait writes the evidence to a row of the nodes' table, which each node reads before it is ready; readers delete rows of traits that are no longer suspected.

Why it works: the row is written 0.3 s after the crash and read with a table that is read at each start anyway.

Conclusion: one restart of everything no longer costs three endpoints.

--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -109,6 +109,10 @@
     pub quarantine: RefCell<Tracker>,
     /// Traits whose evidence is to be sent to the other nodes.
     pub unsent_evidence: RefCell<BTreeSet<Fingerprint>>,
+    /// Traits whose evidence is to be saved if they are suspected.
+    pub unsaved_evidence: RefCell<BTreeSet<Fingerprint>>,
+    /// Signals that there is evidence to save.
+    pub save_evidence: Notify,
     /// Endpoints whose limit is to be sent to the other nodes.
     pub unsent_limits: RefCell<BTreeSet<EndpointId>>,
     /// Services with an endpoint that limits its requests.
@@ -167,6 +171,8 @@
             retry_budgets: RefCell::default(),
             quarantine: RefCell::default(),
             unsent_evidence: RefCell::default(),
+            unsaved_evidence: RefCell::default(),
+            save_evidence: Notify::new(),
             unsent_limits: RefCell::default(),
             limited_services: RefCell::default(),
             announce_now: Notify::new(),
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -8,10 +8,11 @@
 //! would count it as part of the cluster for a while. Nodes that read the store
 //! for the others therefore delete rows of nodes that have been silent for
 //! long. A node that was only partitioned finds its row missing and writes it
-//! again.
+//! again. The table also holds evidence, see [`crate::quarantine`].
 
 use crate::{
     blackboard::Blackboard,
+    quarantine,
     watch::{Error, Row, Store, Table, read_table},
 };
 use codes::Event;
@@ -103,8 +104,11 @@
                 if let Err(error) = apply_rows(&board, &*store, &rows).await {
                     log_error(&board, "writing the secret failed", &error);
                 }
+                // Later, a row may be older than what this node has forgotten.
+                if !board.nodes_known.replace(true) {
+                    quarantine::load(&board, &rows);
+                }
                 delete_stale_rows(&board, &*store, &mut silent_rows, &rows).await;
-                board.nodes_known.set(true);
                 board.nodes_read.notify_waiters();
             }
             Err(error) => log_error(&board, "reading the nodes' rows failed", &error),
@@ -173,15 +177,25 @@
     let is_live =
         |id: &InstanceId| *id == board.settings.instance || board.roster.borrow().is_live(id, now);
     let expired = silent_rows.update(rows, is_live, now);
-    if !board.is_reader() {
-        return;
+    if board.is_reader() {
+        delete_rows(board, store, expired, Event::MemberDead).await;
+        let stale = quarantine::stale_rows(board, rows);
+        delete_rows(board, store, stale, Event::QuarantineCleared).await;
     }
-    for (key, version) in expired {
+}
+
+async fn delete_rows<S: Store>(
+    board: &Blackboard,
+    store: &S,
+    rows: Vec<(Box<str>, Version)>,
+    event: Event,
+) {
+    for (key, version) in rows {
         match store.delete(&key, version).await {
-            Ok(()) => info!(board.log, "stale node row deleted"; Event::MemberDead, "row" => &*key),
+            Ok(()) => info!(board.log, "stale row deleted"; event, "row" => &*key),
             // Another node was first, or the row was written again.
             Err(Error::Conflict) => {}
-            Err(error) => log_error(board, "deleting a stale node row failed", &error),
+            Err(error) => log_error(board, "deleting a stale row failed", &error),
         }
     }
 }
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -8,7 +8,7 @@
 use crate::{
     announce,
     blackboard::{Blackboard, Phase},
-    discovery, dispatcher, holder, owner, peers, serve, transfer,
+    discovery, dispatcher, holder, owner, peers, quarantine, serve, transfer,
     watch::{self, Store},
 };
 use anyhow::Result;
@@ -78,6 +78,7 @@
     supervise(&board, &sockets.metrics, "metrics", serve::metrics);
     supervise(&board, &sockets.transfers, "transfers", transfer::serve);
     supervise(&board, &store, "discovery", discovery::run);
+    supervise(&board, &store, "evidence", quarantine::save);
     supervise(&board, &store, "configuration", watch::follow_configuration);
     supervise(&board, &store, "endpoints", watch::follow_endpoints);
     supervise(&board, &socket, "receive", peers::receive);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -4,9 +4,20 @@
 //! requests, so each node may see one of three crashes under the same part.
 //! Evidence, and what clears it, is therefore announced to all nodes, see
 //! [`crate::announce`].
+//!
+//! All nodes may end at once, and three more endpoints would crash until they
+//! knew the part again. The node that saw the last crash of a suspected trait
+//! therefore saves the evidence as a row of the nodes' table, which each node
+//! reads before it is ready. The nodes that read the store for the others delete
+//! the rows of traits that are no longer suspected.
 
 use crate::{
-    admission, blackboard::Blackboard, digest::Datagram, dispatcher::Slot, reply::Refused,
+    admission,
+    blackboard::Blackboard,
+    digest::Datagram,
+    dispatcher::Slot,
+    reply::Refused,
+    watch::{Row, Store},
 };
 use codes::{Code, Event};
 use sched::{
@@ -14,9 +25,9 @@
     quarantine::{CrashId, Evidence, Verdict},
 };
 use slog::info;
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::net::TcpStream;
-use units::Fingerprint;
+use units::{Fingerprint, Version};
 
 /// Time limit for the connection attempt that tells a crashed endpoint from a broken connection.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -25,8 +36,15 @@
 pub const SURVIVAL_TIME: Duration = Duration::from_millis(250);
 /// Maximum number of traits in a datagram; one takes up to 250 bytes.
 const MAX_TRAITS: usize = 24;
-/// Number of traits that are repeated.
+/// Number of traits that are repeated, and saved.
 const MAX_REPEATED: usize = 8;
+/// Prefix of the keys of rows with evidence.
+const EVIDENCE_ROWS: &str = "evidence/";
+/// Time between a crash and the writing of its row. A part that sound requests share is mostly
+/// cleared meanwhile.
+const SAVE_DELAY: Duration = Duration::from_millis(300);
+/// Delay before another attempt to write a row.
+const SAVE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Endpoint at which a request ran or waited.
 #[derive(Debug, Clone, Copy)]
@@ -128,9 +146,77 @@
     for fingerprint in &changed {
         log_suspicion(board, *fingerprint, "own");
     }
+    board.unsaved_evidence.borrow_mut().extend(&changed);
+    board.save_evidence.notify_one();
     queue_evidence(board, changed);
 }
 
+/// Saves the evidence on suspected traits to the store, so that it survives the end of all nodes.
+pub async fn save<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
+    loop {
+        board.save_evidence.notified().await;
+        let mut delay = SAVE_DELAY;
+        while !board.unsaved_evidence.borrow().is_empty() {
+            tokio::time::sleep(delay).await;
+            delay = SAVE_RETRY_DELAY;
+            save_suspected(&board, &*store).await;
+        }
+    }
+}
+
+/// Writes the rows of suspected traits, and keeps those for later that cannot be written now.
+async fn save_suspected<S: Store>(board: &Blackboard, store: &S) {
+    let unsaved = std::mem::take(&mut *board.unsaved_evidence.borrow_mut());
+    let evidence = {
+        let quarantine = board.quarantine.borrow();
+        let mut traits = quarantine.prominent(MAX_REPEATED);
+        traits.retain(|fingerprint| {
+            unsaved.contains(fingerprint) && quarantine.is_suspected(*fingerprint)
+        });
+        quarantine.evidence(&traits, board.now())
+    };
+    for evidence in evidence {
+        let fingerprint = evidence.fingerprint;
+        if let Err(fault) = save_row(store, &evidence).await {
+            info!(board.log, "saving evidence failed"; Event::StoreDown,
+                "fingerprint" => %fingerprint, "fault" => format!("{fault:#}"));
+            board.unsaved_evidence.borrow_mut().insert(fingerprint);
+        }
+    }
+}
+
+async fn save_row<S: Store>(store: &S, evidence: &Evidence) -> anyhow::Result<()> {
+    let key = format!("{EVIDENCE_ROWS}{}", evidence.fingerprint);
+    let value = postcard::to_stdvec(evidence)?;
+    Ok(store.write(&key, &value, false).await?)
+}
+
+/// Evidence in a row; none for other rows and for those that cannot be decoded.
+fn decode_row(row: &Row) -> Option<Evidence> {
+    row.key.strip_prefix(EVIDENCE_ROWS)?;
+    postcard::from_bytes(row.value.as_ref()?).ok()
+}
+
+/// Takes over saved evidence when the node starts. Crashes count as old as they were when they were
+/// saved, since clocks of nodes may disagree: the quarantine begins anew.
+pub fn load(board: &Blackboard, rows: &[Row]) {
+    for evidence in rows.iter().filter_map(decode_row) {
+        if board.quarantine.borrow_mut().merge(&evidence, board.now()) {
+            log_suspicion(board, evidence.fingerprint, "store");
+        }
+    }
+}
+
+/// Key and version of the rows with evidence that no longer matters.
+pub fn stale_rows(board: &Blackboard, rows: &[Row]) -> Vec<(Box<str>, Version)> {
+    let quarantine = board.quarantine.borrow();
+    let is_stale = |row: &&Row| {
+        let suspected = decode_row(row).is_some_and(|e| quarantine.is_suspected(e.fingerprint));
+        row.key.starts_with(EVIDENCE_ROWS) && !suspected
+    };
+    rows.iter().filter(is_stale).map(|row| (row.key.clone(), row.version)).collect()
+}
+
 /// Has the evidence on these traits sent to all nodes.
 fn queue_evidence(board: &Blackboard, traits: impl IntoIterator<Item = Fingerprint>) {
     board.unsent_evidence.borrow_mut().extend(traits);
--- a/crates/relay/tests/nodes/quarantine.rs
+++ b/crates/relay/tests/nodes/quarantine.rs
@@ -1,7 +1,7 @@
 //! Evidence against what endpoints crash under, between nodes that missed it.
 
 use super::support::{digest, introduce, node, run};
-use relay::{Blackboard, announce, digest::Datagram, peers};
+use relay::{Blackboard, announce, digest::Datagram, peers, quarantine, watch::Row};
 use sched::quarantine::{Crash, CrashId, Evidence, Verdict};
 use std::{
     net::SocketAddr,
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 use tokio::{net::UdpSocket, task::spawn_local};
-use units::{EndpointId, Fingerprint};
+use units::{EndpointId, Fingerprint, Version};
 
 const DEADLY: Fingerprint = Fingerprint(7);
 /// Bytes that a node of a large cluster may send for control each second.
@@ -111,3 +111,34 @@
         assert!(per_second <= CONTROL_BYTES_PER_S, "{per_second} bytes a second");
     });
 }
+
+/// A row must not outlive its suspicion, or it would be taken over again at each start.
+#[test]
+fn saved_evidence_is_stale_once_a_request_has_survived() {
+    run(async {
+        let (saver, _, _) = start("n-1", 27).await;
+        crash_endpoints(&saver);
+        let evidence = saver.quarantine.borrow().evidence(&[DEADLY], saver.now()).remove(0);
+        let value = postcard::to_stdvec(&evidence).unwrap();
+        let row = |key: &str, value: &[u8]| Row {
+            key: key.into(),
+            value: Some(value.to_vec().into()),
+            version: Version(3),
+        };
+        let rows = [
+            row("evidence/7", &value),
+            row("evidence/8", b"\xff"),
+            row("node/n-1", b"127.0.0.1:9 a"),
+            row("secret", b"secret"),
+        ];
+        let (started, _, _) = start("n-2", 28).await;
+        quarantine::load(&started, &rows);
+        assert!(refuses(&started));
+        let stale = || -> Vec<Box<str>> {
+            quarantine::stale_rows(&started, &rows).into_iter().map(|(key, _)| key).collect()
+        };
+        assert_eq!(stale(), ["evidence/8".into()], "it cannot be decoded");
+        started.quarantine.borrow_mut().record_survival(&[DEADLY]);
+        assert_eq!(stale(), ["evidence/7".into(), "evidence/8".into()]);
+    });
+}
