--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -255,6 +255,12 @@
         self.choice.address
     }
 
+    /// Node that issued the permit for the request, if it has one.
+    #[must_use]
+    pub fn owner(&self) -> Option<SocketAddr> {
+        self.board.permits.borrow().owner(self.permit?)
+    }
+
     /// Records the load that the endpoint reported with its response.
     pub fn record_load(&mut self, load: Option<Load>) {
         self.load = load;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -197,7 +197,8 @@
         "output" => accepted.submission.max_output.get(),
         "endpoint" => %slot.endpoint(), "expected_ms" => millis(slot.choice.expected),
         "flights" => slot.choice.in_flight, "candidates" => slot.choice.candidates,
-        "waited_ms" => millis(waited), "resume_after" => resume_after);
+        "waited_ms" => millis(waited), "resume_after" => resume_after,
+        "owner" => slot.owner().map(|owner| owner.to_string()));
     board.metrics.record_time("queue", waited);
     let recent_only = !accepted.route.kind.is_repeatable();
     let connection = match board.pool.acquire(slot.address(), recent_only, now).await {
