Owner: a node that is not ready declines to issue permits

Cause: holders ask a node that was killed until they find it silent, and its successor process answered at once, before it had a configuration: without limits, quotas and the permits in use. Each such request logged `acting as owner` anew.

Change: a node that is not ready declines (permit::Message::Decline), and the holder asks the next node at once. A forwarded request is left unanswered, as its holder waits for the forwarder.

Ruled out: silence, which costs the caller 180 ms; issuing permits by the directory alone, as limits and quotas bind. Why it works: readiness takes the configuration and the directory.

Measured: node_that_is_not_ready_does_not_act_as_owner failed before (one permit issued by the node without a configuration) and passes; all tests of relay pass. Older builds do not know the new message, log it as undecodable and find the node silent, as before (not run).

--- a/crates/relay/src/holder.rs
+++ b/crates/relay/src/holder.rs
@@ -6,8 +6,8 @@
 //! knows all of its slots and all waiting requests, and is a tenth of a
 //! millisecond away.
 //!
-//! An owner that does not respond is passed over for a while, and the next
-//! node in line is asked. Two owners at the same time are harmless: each request
+//! An owner that does not respond, or declines, is passed over for a while, and
+//! the next node in line is asked. Two owners at the same time are harmless: each request
 //! uses the first permit that it gets and returns any other. A node that finds
 //! no owner decides by itself, see [`crate::dispatcher`].
 
@@ -50,6 +50,7 @@
     Queued,
     Granted(SocketAddr, Grant),
     Refused(Refusal),
+    Declined(SocketAddr),
 }
 
 #[derive(Debug)]
@@ -162,6 +163,8 @@
                     guard.finish();
                     return Some(Err(refusal));
                 }
+                Ok(Some(Response::Declined(owner))) if owner == address => break,
+                Ok(Some(Response::Declined(_))) => {}
                 Ok(None) => return None,
                 Err(_) if board.now() > submission.deadlines.hard + REFUSAL_MARGIN => {
                     let wait = Duration::ZERO;
@@ -171,9 +174,10 @@
                 Err(_) => unanswered += 1,
             }
         }
+        let declined = unanswered < MAX_UNANSWERED;
         info!(board.log, "owner does not respond"; Event::OwnerSilent, "owner" => %id,
-            "service" => %submission.service);
-        board.metrics.count("permit", "owner_silent");
+            "service" => %submission.service, "declined" => declined);
+        board.metrics.count("permit", if declined { "owner_declined" } else { "owner_silent" });
         board.roster.borrow_mut().suspect(&id, board.now());
     }
     None
@@ -223,6 +227,7 @@
             let refused = Refusal { code: refusal.code, wait: refusal.wait };
             (refusal.request, Response::Refused(refused))
         }
+        Message::Decline(request) => (request, Response::Declined(from)),
         _ => return,
     };
     let is_grant = matches!(response, Response::Granted(..));
--- a/crates/relay/src/owner.rs
+++ b/crates/relay/src/owner.rs
@@ -10,6 +10,9 @@
 //! that hear of each other every few seconds would each spend one large request
 //! more than their part; the few owners hear of each other every second.
 //!
+//! A node that is not ready declines: it does not know the limits and quotas that
+//! bind it.
+//!
 //! All state is soft. An owner that takes over does not know which permits are
 //! in use, until their holders confirm them within half a second; until then
 //! endpoints may get more requests than they have slots, which they queue. Two
@@ -139,7 +142,7 @@
         Message::End(end) => handle_end(board, end),
         Message::Held(held) => handle_held(board, &held, from),
         Message::Pressure(pressure) => record_pressure(board, pressure, from),
-        Message::Queued(_) | Message::Grant(_) | Message::Refuse(_) => {}
+        Message::Queued(_) | Message::Grant(_) | Message::Refuse(_) | Message::Decline(_) => {}
     }
 }
 
@@ -168,6 +171,15 @@
     if let Some(answer) = repeated_answer(board, id) {
         return board.send_message(holder, answer);
     }
+    // A node that has just started is still asked by those that knew its predecessor.
+    if !board.is_ready() {
+        board.metrics.count("permit", "declined");
+        // If another owner has forwarded it, its holder knows that one only.
+        if request.holder.is_none() {
+            board.send_message(holder, Message::Decline(id));
+        }
+        return;
+    }
     let was_acting = board.is_owner(&request.service);
     board.cells.borrow_mut().acting.insert(request.service.clone(), now);
     if !was_acting {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -88,7 +88,7 @@
 fn handle_permits(board: &Rc<Blackboard>, messages: Box<[Message]>, from: SocketAddr) {
     for message in messages {
         match message {
-            Message::Queued(_) | Message::Grant(_) | Message::Refuse(_) => {
+            Message::Queued(_) | Message::Grant(_) | Message::Refuse(_) | Message::Decline(_) => {
                 holder::handle(board, message, from);
             }
             message => owner::handle(board, message, from),
--- a/crates/relay/src/permit.rs
+++ b/crates/relay/src/permit.rs
@@ -118,6 +118,8 @@
     Held(Box<[(RequestId, EndpointId, Size)]>),
     /// Owner to the owners of the service's other cells.
     Pressure(Pressure),
+    /// Node to holder: it cannot act as owner now.
+    Decline(RequestId),
 }
 
 /// Messages to send, by recipient.
--- a/crates/relay/tests/nodes/permits.rs
+++ b/crates/relay/tests/nodes/permits.rs
@@ -75,11 +75,19 @@
 impl Node {
     /// Node whose tasks run; a larger one is preferred as owner.
     async fn start(zone: &str, name: &str, number: u8, processor: u32) -> Self {
+        let mut node = Self::unheard(zone, name, number, processor).await;
+        let (board, socket) = (&node.board, &node.socket);
+        let broadcast = peers::broadcast(Rc::clone(board), Rc::clone(socket));
+        node.tasks.push(spawn_local(broadcast));
+        node
+    }
+
+    /// Node whose tasks run, but for its digests.
+    async fn unheard(zone: &str, name: &str, number: u8, processor: u32) -> Self {
         let mut node = Self::frozen(zone, name, number, processor).await;
         let (board, socket) = (&node.board, &node.socket);
         node.tasks = vec![
             spawn_local(peers::receive(Rc::clone(board), Rc::clone(socket))),
-            spawn_local(peers::broadcast(Rc::clone(board), Rc::clone(socket))),
             spawn_local(peers::send_permits(Rc::clone(board), Rc::clone(socket))),
             spawn_local(dispatcher::run(Rc::clone(board))),
             spawn_local(holder::confirm(Rc::clone(board))),
@@ -293,3 +301,24 @@
         assert!(refusal.wait > Duration::from_millis(100), "{:?}", refusal.wait);
     });
 }
+
+/// The preferred owner has just been restarted and has no configuration yet; its peers still ask it.
+#[test]
+fn node_that_is_not_ready_does_not_act_as_owner() {
+    run(async {
+        let restarted = Node::unheard("a", "o", 90, 50).await;
+        *restarted.board.configuration.borrow_mut() = None;
+        let holders =
+            [Node::start("a", "h-0", 91, 20).await, Node::start("a", "h-1", 92, 30).await];
+        for (node, other) in [(0, 1), (1, 0)] {
+            holders[node].meet(&restarted);
+            holders[node].meet(&holders[other]);
+        }
+        let started = Instant::now();
+        let slot = holders[0].acquire(1).await.unwrap();
+        let issued = |node: &Node| node.board.cells.borrow().issued();
+        assert_eq!(issued(&restarted), 0, "it does not know limits and quotas");
+        assert_eq!(issued(&holders[1]), 1, "{}", slot.endpoint());
+        assert!(started.elapsed() < Duration::from_millis(150), "{:?}", started.elapsed());
+    });
+}
