Limits: one that is announced before its endpoint is listed is kept

What callers saw: an endpoint in need got requests without limit through nodes that had just started. Cause: such a node is told the limits when it is first heard, before it has read the directory, and dropped those of endpoints it did not know; it learned of them 0.6 s after its configuration, with the next repetition. The same happened to an endpoint whose process starts again, if its limit came before its new entry.

Change: the fleet keeps announced limits of unknown processes, 1,024 at most and 30 s at most, and applies them to the listing with that start time.

Ruled out: sending the limits again when a node is ready, which leaves a gap of a round trip. Why it works: a listing and its limit take effect together.

--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -1,8 +1,10 @@
 //! Limits that endpoints name in their responses, as known to all nodes.
 //!
 //! A node that sends nothing to an endpoint learns of its limit, and of the end
-//! of the limit, from the other nodes' announcements. The newest response counts;
-//! see [`sched::fleet`] for how nodes share a limit.
+//! of the limit, from the other nodes' announcements. The newest response counts.
+//! A node that starts hears of limits before it has read the directory; they are
+//! kept until the endpoint is listed. See [`sched::fleet`] for how nodes share a
+//! limit.
 
 use crate::{
     blackboard::Blackboard,
@@ -17,6 +19,8 @@
 
 /// Maximum number of limits in a datagram; one takes up to 50 bytes.
 const MAX_LIMITS: usize = 24;
+/// Time for which a limit of an endpoint that is not listed yet is kept.
+const EARLY_TTL: Duration = Duration::from_secs(30);
 /// Time for which the end of a limit is repeated.
 const END_REPEATED_FOR: Duration = Duration::from_secs(10);
 
@@ -42,14 +46,12 @@
     let now = board.now();
     let mut changed = false;
     for limit in limits {
-        let is_same = board
-            .fleet
-            .borrow()
-            .listing(&limit.endpoint)
-            .is_some_and(|listing| listing.born == limit.born);
-        let newer =
-            Limit { rate: limit.rate, at: now - Duration::from_millis(limit.age_ms.into()) };
-        if is_same && board.fleet.borrow_mut().record_limit(&limit.endpoint, newer, now) {
+        let age = Duration::from_millis(limit.age_ms.into());
+        let newer = Limit { rate: limit.rate, at: now - age };
+        let mut fleet = board.fleet.borrow_mut();
+        let is_new = fleet.record_announced_limit(&limit.endpoint, limit.born, newer, now);
+        drop(fleet);
+        if is_new {
             log(board, &limit.endpoint, limit.rate, &from.to_string());
             changed = true;
         }
@@ -63,6 +65,7 @@
 /// Updates this node's shares of the endpoints' limits, and the services that have limited ones.
 pub fn update(board: &Blackboard) {
     let now = board.now();
+    board.fleet.borrow_mut().prune_early_limits(now - EARLY_TTL);
     let roster = board.roster.borrow();
     let nodes = u32::try_from(roster.live_count(now) + 1).unwrap_or(u32::MAX);
     let mut fleet = board.fleet.borrow_mut();
--- a/crates/relay/tests/nodes.rs
+++ b/crates/relay/tests/nodes.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "test helpers")]
 
 mod nodes {
+    pub mod limits;
     pub mod permits;
     pub mod quarantine;
     pub mod support;
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -85,6 +85,9 @@
 /// intervals, so that one digest may be lost.
 const USAGE_TTL: Duration = Duration::from_secs(3);
 
+/// Maximum number of limits of endpoints that are not listed yet.
+const MAX_EARLY_LIMITS: usize = 1_024;
+
 #[allow(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
 fn tokens(count: Tokens) -> f64 {
     count.0 as f64
@@ -101,6 +104,8 @@
     service_slots: HashMap<ServiceId, slots::Pool>,
     /// Services whose endpoints in this zone only this node uses, on behalf of the others.
     owned: BTreeSet<ServiceId>,
+    /// Limits of endpoints that are not listed yet, with the start of their process.
+    early_limits: HashMap<EndpointId, (Option<u64>, Limit)>,
 }
 
 impl Default for Fleet {
@@ -112,6 +117,7 @@
             share: 1.0,
             service_slots: HashMap::new(),
             owned: BTreeSet::new(),
+            early_limits: HashMap::new(),
         }
     }
 }
@@ -133,6 +139,12 @@
         let changed = self.update(listing.clone(), distance);
         if let Some(known) = self.endpoints.get_mut(&listing.id) {
             known.listed_at = now;
+            if let Some((_, limit)) =
+                self.early_limits.get(&listing.id).filter(|(born, _)| *born == listing.born)
+            {
+                known.record_limit(*limit, now);
+                self.early_limits.remove(&listing.id);
+            }
         }
         changed
     }
@@ -351,6 +363,32 @@
         self.endpoints.get_mut(id).is_some_and(|endpoint| endpoint.record_limit(limit, now))
     }
 
+    /// As [`Self::record_limit`], for a limit that another node announces, of the process that started
+    /// at `born`. It is kept if the process is not listed here yet.
+    pub fn record_announced_limit(
+        &mut self,
+        id: &EndpointId,
+        born: Option<u64>,
+        limit: Limit,
+        now: Time,
+    ) -> bool {
+        if self.endpoints.get(id).is_some_and(|endpoint| endpoint.listing.born == born) {
+            return self.record_limit(id, limit, now);
+        }
+        let known = self.early_limits.get(id).is_some_and(|(_, known)| known.at > limit.at);
+        if !known
+            && (self.early_limits.len() < MAX_EARLY_LIMITS || self.early_limits.contains_key(id))
+        {
+            self.early_limits.insert(id.clone(), (born, limit));
+        }
+        false
+    }
+
+    /// Forgets limits that were named before `since` by endpoints that are still not listed.
+    pub fn prune_early_limits(&mut self, since: Time) {
+        self.early_limits.retain(|_, (_, limit)| limit.at >= since);
+    }
+
     /// Limit of an endpoint, and when it was last named; none if no response is known.
     #[must_use]
     pub fn limit(&self, id: &EndpointId) -> Option<Limit> {
--- a/crates/sched/tests/limit.rs
+++ b/crates/sched/tests/limit.rs
@@ -25,18 +25,21 @@
     Time::from_millis(1_000) + STEP * u32::try_from(step).unwrap()
 }
 
-fn fleet(rate: RequestRate) -> Fleet {
-    let mut fleet = Fleet::new();
-    let listing = Listing {
+fn listing(born: Option<u64>) -> Listing {
+    Listing {
         id: endpoint(),
         service: service(),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: ZoneId::new("a").unwrap(),
         slots: 1_000,
         leaving: false,
-        born: None,
-    };
-    fleet.upsert(listing, Distance::SameZone, at(0));
+        born,
+    }
+}
+
+fn fleet(rate: RequestRate) -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.upsert(listing(None), Distance::SameZone, at(0));
     fleet.record_limit(&endpoint(), Limit { rate: Some(rate), at: at(0) }, at(0));
     fleet
 }
@@ -133,3 +136,31 @@
         assert!(parse(invalid).is_err(), "{invalid}");
     }
 }
+
+/// A node that starts is told the limits before it has read the directory, or an endpoint has started
+/// again and its entry comes later than its limit.
+#[test]
+fn a_limit_announced_before_the_listing_counts() {
+    let limit = |step, rate| Limit { rate: Some(RequestRate(rate)), at: at(step) };
+    let mut started = Fleet::new();
+    assert!(!started.record_announced_limit(&endpoint(), Some(7), limit(0, 2_000), at(1)));
+    started.upsert(listing(Some(6)), Distance::SameZone, at(2));
+    assert_eq!(started.limited_services().len(), 0, "another process");
+    started.upsert(listing(Some(7)), Distance::SameZone, at(3));
+    assert_eq!(started.limit(&endpoint()), Some(limit(0, 2_000)));
+    started.set_limit_shares(|_, _| 0.0, at(3));
+    assert_eq!(send_all(&mut started, at(4)), 0);
+    // Names without an entry must not fill the memory.
+    for number in 0..100_000 {
+        let id = EndpointId::new(&format!("x-{number}")).unwrap();
+        started.record_announced_limit(&id, None, limit(0, 2_000), at(4));
+    }
+    started.prune_early_limits(at(1));
+    started.upsert(
+        Listing { id: EndpointId::new("x-1").unwrap(), ..listing(None) },
+        Distance::SameZone,
+        at(5),
+    );
+    assert_eq!(started.limited_services().len(), 1);
+    assert_eq!(started.limit(&EndpointId::new("x-1").unwrap()), None, "forgotten");
+}
