Limits: owners that act at once share an endpoint's limit

Cause: holders find owners silent at different moments, so that several nodes of a zone act as owner for some seconds, each with a bucket of the whole rate.

Change: an owner's share is one part in as many as say, in their digests, to give out the service's slots in the zone; a takeover sends its digest at once.

Ruled out: one fixed node for each limited endpoint, as its loss stops the endpoint's use; a lease in the store, which costs a writing call a second and cell, and stops all owners while the store is away. Why it works: a new owner starts with an empty bucket and hears from the others before it has gathered much.

--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -15,7 +15,7 @@
 use sched::fleet::{Limit, share};
 use slog::info;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
-use units::{EndpointId, RequestRate};
+use units::{EndpointId, RequestRate, ServiceId};
 
 /// Maximum number of limits in a datagram; one takes up to 50 bytes.
 const MAX_LIMITS: usize = 24;
@@ -70,11 +70,12 @@
     let nodes = u32::try_from(roster.live_count(now) + 1).unwrap_or(u32::MAX);
     let mut fleet = board.fleet.borrow_mut();
     let is_small = roster.is_small();
+    let owner_share = |service: &ServiceId| 1.0 / f64::from(1 + roster.owners_beside(service, now));
     // In a large cluster, owners give out the slots, and other nodes have no share.
     let share_of = |endpoint: &EndpointId, rate| {
         if is_small { share(rate, roster.rank(endpoint.as_str(), now), nodes) } else { 0.0 }
     };
-    fleet.set_limit_shares(share_of, now);
+    fleet.set_limit_shares(owner_share, share_of, now);
     *board.limited_services.borrow_mut() = fleet.limited_services();
 }
 
--- a/crates/relay/src/owner.rs
+++ b/crates/relay/src/owner.rs
@@ -16,7 +16,8 @@
 //! All state is soft. An owner that takes over does not know which permits are
 //! in use, until their holders confirm them within half a second; until then
 //! endpoints may get more requests than they have slots, which they queue. Two
-//! owners at the same time have the same effect. The permits of a holder that
+//! owners at the same time have the same effect, but for limits that endpoints
+//! name: owners that hear of each other share them. The permits of a holder that
 //! is gone expire.
 
 use crate::{
@@ -185,6 +186,8 @@
     if !was_acting {
         info!(board.log, "acting as owner"; Event::CellTaken, "service" => %request.service);
         crate::peers::reallocate(board);
+        // Other owners of the cell share limits with this node as soon as they know of it.
+        board.broadcast_now.notify_one();
     }
     // A forwarded request is not forwarded again.
     if request.holder.is_none()
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -366,6 +366,16 @@
         }
     }
 
+    /// Number of other nodes that say to give out a service's slots in this zone.
+    #[must_use]
+    pub fn owners_beside(&self, service: &ServiceId, now: Time) -> u32 {
+        let service = short_hash(service.as_str());
+        let owners = self
+            .live_peers(now)
+            .filter(|(_, peer)| peer.is_same_zone() && peer.owned.contains(&service));
+        u32::try_from(owners.count()).unwrap_or(u32::MAX)
+    }
+
     /// Addresses of the nodes that give out a service's slots in other zones.
     #[must_use]
     pub fn other_owners(&self, service: &ServiceId, now: Time) -> Vec<SocketAddr> {
--- a/crates/relay/tests/nodes/permits.rs
+++ b/crates/relay/tests/nodes/permits.rs
@@ -22,7 +22,10 @@
     task::{JoinHandle, spawn_local},
     time::timeout,
 };
-use units::{Fingerprint, OrganisationId, Rank, RequestId, ServiceId, Tokens, Version, ZoneId};
+use units::{
+    EndpointId, Fingerprint, OrganisationId, Rank, RequestId, RequestRate, ServiceId, Tokens,
+    Version, ZoneId,
+};
 
 /// Endpoints and slots of each zone.
 const ENDPOINTS: u32 = 2;
@@ -65,6 +68,13 @@
         .with_organisation(organisation, &[])
 }
 
+/// Requests a second that a limited endpoint takes.
+const LIMIT: RequestRate = RequestRate(10_000);
+/// Length of a window, and the requests that a limited endpoint may get in it: one and a half times
+/// the limit, and five.
+const WINDOW: Duration = Duration::from_secs(4);
+const ALLOWED: usize = 65;
+
 /// Node with its tasks.
 struct Node {
     board: Rc<Blackboard>,
@@ -302,6 +312,68 @@
     });
 }
 
+/// Asks for permits for `time` and returns when each was granted, by endpoint.
+async fn use_permits(holder: &Node, first: u64, time: Duration) -> Vec<(EndpointId, Instant)> {
+    let end = Instant::now() + time;
+    let mut granted = Vec::new();
+    for number in first.. {
+        let left = end.saturating_duration_since(Instant::now());
+        match timeout(left, holder.acquire(number)).await {
+            Ok(slot) => granted.push((slot.unwrap().endpoint().clone(), Instant::now())),
+            Err(_) => break,
+        }
+    }
+    granted
+}
+
+fn most_in_window(granted: &[(EndpointId, Instant)], since: Instant) -> usize {
+    let times: Vec<Instant> = granted.iter().map(|(_, at)| *at).filter(|at| *at >= since).collect();
+    let within = |first: &Instant| {
+        times.iter().filter(|at| **at >= *first && at.duration_since(*first) < WINDOW).count()
+    };
+    times.iter().map(within).max().unwrap_or_default()
+}
+
+/// Holders of a zone ask three different nodes, since each has found other nodes silent.
+#[test]
+fn owners_that_act_at_once_share_a_limit() {
+    run(async {
+        let mut owners = Vec::new();
+        let mut holders = Vec::new();
+        for number in 0..3 {
+            let owner = Node::start("a", &format!("o-{number}"), 80 + number, 50).await;
+            let holder = Node::start("a", &format!("h-{number}"), 85 + number, 1).await;
+            holder.meet(&owner);
+            owners.push(owner);
+            holders.push(holder);
+        }
+        for (number, owner) in owners.iter().enumerate() {
+            for (_, other) in owners.iter().enumerate().filter(|(n, _)| *n != number) {
+                owner.meet(other);
+            }
+            for endpoint in 0..ENDPOINTS {
+                relay::limits::record(&owner.board, &listing(endpoint).id, Some(LIMIT));
+            }
+        }
+        let begin = Instant::now();
+        let time = WINDOW + Duration::from_secs(2);
+        let (a, b, c) = tokio::join!(
+            use_permits(&holders[0], 0, time),
+            use_permits(&holders[1], 10_000, time),
+            use_permits(&holders[2], 20_000, time),
+        );
+        assert!(a.len().min(b.len()).min(c.len()) > 0, "each of the three grants permits");
+        let granted = [a, b, c].concat();
+        for endpoint in 0..ENDPOINTS {
+            let id = listing(endpoint).id;
+            let here: Vec<_> = granted.iter().filter(|(e, _)| *e == id).cloned().collect();
+            let most = most_in_window(&here, begin + Duration::from_secs(1));
+            assert!(most <= ALLOWED, "{most} permits for {id} in a window");
+            assert!(most >= 20, "{most} permits for {id}: half of what it takes");
+        }
+    });
+}
+
 /// The preferred owner has just been restarted and has no configuration yet; its peers still ask it.
 #[test]
 fn node_that_is_not_ready_does_not_act_as_owner() {
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -410,14 +410,19 @@
         limited.map(|endpoint| endpoint.listing.service.clone()).collect()
     }
 
-    /// Sets this node's shares of the endpoints' limits: all of it where it gives out the slots,
+    /// Sets this node's shares of the endpoints' limits: `owner_share` where it gives out the slots,
     /// `share` elsewhere.
-    pub fn set_limit_shares(&mut self, share: impl Fn(&EndpointId, RequestRate) -> f64, now: Time) {
+    pub fn set_limit_shares(
+        &mut self,
+        owner_share: impl Fn(&ServiceId) -> f64,
+        share: impl Fn(&EndpointId, RequestRate) -> f64,
+        now: Time,
+    ) {
         for (id, endpoint) in &mut self.endpoints {
             let Some(bucket) = &mut endpoint.bucket else { continue };
-            let is_owned = endpoint.distance == Distance::SameZone
-                && self.owned.contains(&endpoint.listing.service);
-            let share = if is_owned { 1.0 } else { share(id, bucket.rate) };
+            let service = &endpoint.listing.service;
+            let is_owned = endpoint.distance == Distance::SameZone && self.owned.contains(service);
+            let share = if is_owned { owner_share(service) } else { share(id, bucket.rate) };
             bucket.set(bucket.rate, share, now);
         }
     }
--- a/crates/sched/src/fleet/limit.rs
+++ b/crates/sched/src/fleet/limit.rs
@@ -5,7 +5,8 @@
 //! cluster, a few nodes have equal shares of each endpoint, so few that their
 //! buckets together hold little more than the rate; other nodes send nothing
 //! there. In a large one, the node that gives out the endpoint's slots has the
-//! whole rate.
+//! whole rate; while several do, because not all nodes agree who is live, they
+//! have equal shares.
 
 use std::time::Duration;
 use units::{RequestRate, Time};
--- a/crates/sched/tests/limit.rs
+++ b/crates/sched/tests/limit.rs
@@ -83,7 +83,7 @@
         for step in 0..5 * WINDOW {
             let mut in_step = 0;
             for (rank, fleet) in (0..).zip(&mut fleets) {
-                fleet.set_limit_shares(|_, rate| share(rate, rank, nodes), at(step));
+                fleet.set_limit_shares(|_| 1.0, |_, rate| share(rate, rank, nodes), at(step));
                 in_step += send_all(fleet, at(step));
             }
             sent.push(in_step);
@@ -104,8 +104,8 @@
     owner.set_owned([service()]);
     let mut sent = Vec::new();
     for step in 0..3 * WINDOW {
-        owner.set_limit_shares(|_, _| 0.0, at(step));
-        other.set_limit_shares(|_, _| 0.0, at(step));
+        owner.set_limit_shares(|_| 1.0, |_, _| 0.0, at(step));
+        other.set_limit_shares(|_| 1.0, |_, _| 0.0, at(step));
         assert_eq!(send_all(&mut other, at(step)), 0);
         sent.push(send_all(&mut owner, at(step)));
     }
@@ -148,7 +148,7 @@
     assert_eq!(started.limited_services().len(), 0, "another process");
     started.upsert(listing(Some(7)), Distance::SameZone, at(3));
     assert_eq!(started.limit(&endpoint()), Some(limit(0, 2_000)));
-    started.set_limit_shares(|_, _| 0.0, at(3));
+    started.set_limit_shares(|_| 1.0, |_, _| 0.0, at(3));
     assert_eq!(send_all(&mut started, at(4)), 0);
     // Names without an entry must not fill the memory.
     for number in 0..100_000 {
