Limits: the number of owners is counted once for each service

What callers saw: nothing. Cause: found when the change was read as a newcomer. An owner counted the other owners of its cell for each limited endpoint, so that the work grew with nodes x endpoints. Change: once for each service; the head of relay::holder says when two owners act. No behaviour. Ruled out: nothing. Measured: all tests of relay and sched pass.

--- a/crates/relay/src/holder.rs
+++ b/crates/relay/src/holder.rs
@@ -7,9 +7,10 @@
 //! millisecond away.
 //!
 //! An owner that does not respond, or declines, is passed over for a while, and
-//! the next node in line is asked. Two owners at the same time are harmless: each request
-//! uses the first permit that it gets and returns any other. A node that finds
-//! no owner decides by itself, see [`crate::dispatcher`].
+//! the next node in line is asked. Two owners may act at the same time, see
+//! [`crate::owner`]: each request uses the first permit that it gets and returns
+//! any other. A node that finds no owner decides by itself, see
+//! [`crate::dispatcher`].
 
 use crate::{
     blackboard::Blackboard,
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -14,7 +14,7 @@
 use codes::Event;
 use sched::fleet::{Limit, share};
 use slog::info;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 use units::{EndpointId, RequestRate, ServiceId};
 
 /// Maximum number of limits in a datagram; one takes up to 50 bytes.
@@ -73,13 +73,16 @@
     let nodes = u32::try_from(roster.live_count(now) + 1).unwrap_or(u32::MAX);
     let mut fleet = board.fleet.borrow_mut();
     let is_small = roster.is_small();
+    let limited = fleet.limited_services();
     let owner_share = |service: &ServiceId| 1.0 / f64::from(1 + roster.owners_beside(service, now));
+    let owner_shares: BTreeMap<&ServiceId, f64> =
+        limited.iter().map(|service| (service, owner_share(service))).collect();
     // In a large cluster, owners give out the slots, and other nodes have no share.
     let share_of = |endpoint: &EndpointId, rate| {
         if is_small { share(rate, roster.rank(endpoint.as_str(), now), nodes) } else { 0.0 }
     };
-    fleet.set_limit_shares(owner_share, share_of, now);
-    *board.limited_services.borrow_mut() = fleet.limited_services();
+    fleet.set_limit_shares(|service| owner_shares[service], share_of, now);
+    *board.limited_services.borrow_mut() = limited;
 }
 
 /// Announcements of changes that this node has learned from responses.
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -84,7 +84,6 @@
 /// Default and least time after which a peer's reported usage expires: more than two usual digest
 /// intervals, so that one digest may be lost.
 const USAGE_TTL: Duration = Duration::from_secs(3);
-
 /// Maximum number of limits of endpoints that are not listed yet.
 const MAX_EARLY_LIMITS: usize = 1_024;
 
