--- a/review/standins/src/cases/load_report.rs
+++ b/review/standins/src/cases/load_report.rs
@@ -63,7 +63,7 @@
         let first = self.first_answer.get().unwrap_or_else(Instant::now);
         self.first_answer.set(Some(first));
         let is_spoiled = self.is_faulty
-            && self.answers.get() % SPOILED_INTERVAL == 0
+            && self.answers.get().is_multiple_of(SPOILED_INTERVAL)
             && first.elapsed() < SPOILED_FOR;
         let percent = if is_spoiled { "nan" } else { "100" };
         if is_spoiled {
