--- a/review/standins/src/cases/late_copy.rs
+++ b/review/standins/src/cases/late_copy.rs
@@ -142,6 +142,7 @@
         }
         let mut request = Request::new("POST /book/visit", &attempt, DEADLINE);
         request.body = b"one visit".to_vec();
+        record.write(&format!("client: {attempt} sent"));
         let answer = request.send(relay.callers).await?;
         let runs = bookings.runs(&attempt);
         record.write(&format!("client: {attempt}: {answer}; runs so far: {runs}"));
--- a/review/standins/src/cases/load_report.rs
+++ b/review/standins/src/cases/load_report.rs
@@ -98,13 +98,11 @@
         count += 1;
         let attempt = format!("view-{number}-{count}");
         let is_kept = connection.answers > 0;
+        record.write(&format!("client: {attempt} sent, kept connection: {is_kept}"));
         let answer = connection.send(&Request::new("GET /view/visit", &attempt, DEADLINE)).await;
-        if answer.status.is_some() {
-            counts.answered.set(counts.answered.get() + 1);
-        } else {
-            counts.unanswered.set(counts.unanswered.get() + 1);
-            record.write(&format!("client: {attempt}, kept connection: {is_kept}: {answer}"));
-        }
+        record.write(&format!("client: {attempt}: {answer}"));
+        let count = if answer.status.is_some() { &counts.answered } else { &counts.unanswered };
+        count.set(count.get() + 1);
         let worker = runs.0.borrow().get(&attempt).copied();
         if answer.status.is_none() && !answer.timed_out && is_kept && worker.is_some_and(|w| w > 0)
         {
