--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -18,6 +18,8 @@
     sync::watch,
 };
 
+/// Status of a worker that is full.
+const UNAVAILABLE: &str = "503 Service Unavailable";
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -37,6 +39,11 @@
     None,
     /// Requests are rejected with status 503 and not run.
     Reject,
+    /// The first sending of each attempt is rejected, and the rejection is sent once more when the
+    /// next request comes on its connection.
+    RejectAndRepeat,
+    /// Requests run, and a rejection that names no request precedes the response.
+    UnnamedRejection,
     /// Requests run, and the connection is closed without a response.
     DropResponse,
     /// Streams end in the middle of the event after this number.
@@ -77,6 +84,8 @@
     id: String,
     fault: Fault,
     runs: Vec<Run>,
+    /// Attempts rejected with [`Fault::RejectAndRepeat`].
+    rejected: BTreeSet<String>,
     events: u64,
     pause: Duration,
     /// Part of a prompt under which the worker crashes.
@@ -117,6 +126,7 @@
             id: id.to_owned(),
             fault: Fault::None,
             runs: Vec::new(),
+            rejected: BTreeSet::new(),
             events: 5,
             pause: Duration::from_millis(5),
             deadly_part: None,
@@ -217,8 +227,9 @@
 
 async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>) -> Result<()> {
     let mut buffer = Vec::new();
+    let mut late = None;
     while let Some(run) = read(&mut stream, &mut buffer).await? {
-        let keep_alive = respond(&mut stream, &state, run).await?;
+        let keep_alive = respond(&mut stream, &state, run, &mut late).await?;
         if !keep_alive {
             return Ok(());
         }
@@ -263,26 +274,46 @@
     }))
 }
 
-/// Runs one request and writes the response; false if the connection must be closed.
-async fn respond(stream: &mut TcpStream, state: &Mutex<State>, run: Run) -> Result<bool> {
+/// Response that states that a request was not run.
+fn rejection(status: &str, headers: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// Runs one request and writes the response; false if the connection must be closed. `late` is the
+/// copy of an earlier response on the connection that is still to be sent.
+async fn respond(
+    stream: &mut TcpStream,
+    state: &Mutex<State>,
+    run: Run,
+    late: &mut Option<String>,
+) -> Result<bool> {
     let (id, fault) = {
         let state = state.lock();
         (state.id.clone(), state.fault)
     };
     let attempt = run.attempt.clone();
+    if let Some(copy) = late.take() {
+        stream.write_all(copy.as_bytes()).await?;
+    }
+    let named = format!("X-Attempt-Id: {attempt}\r\n");
     if run.headers.get("x-target-instance").is_some_and(|target| *target != id) {
-        let head = format!("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {id}\r\n");
-        stream.write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).await?;
+        let headers = format!("{named}X-Instance-Id: {id}\r\n");
+        stream.write_all(rejection("421 Misdirected Request", &headers).as_bytes()).await?;
         return Ok(true);
     }
-    if fault == Fault::Reject {
-        let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
-        stream.write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).await?;
+    let is_first = fault == Fault::RejectAndRepeat && state.lock().rejected.insert(attempt.clone());
+    if fault == Fault::Reject || is_first {
+        let response = rejection(UNAVAILABLE, &named);
+        stream.write_all(response.as_bytes()).await?;
+        *late = is_first.then_some(response);
         return Ok(true);
     }
     if fault == Fault::RejectWithoutEnd {
-        let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\r\n";
-        return write_without_end(stream, head, "x").await;
+        let head = format!("HTTP/1.1 {UNAVAILABLE}\r\n{named}X-Not-Executed: 1\r\n\r\n");
+        return write_without_end(stream, &head, "x").await;
+    }
+    if fault == Fault::UnnamedRejection {
+        stream.write_all(rejection(UNAVAILABLE, "").as_bytes()).await?;
     }
     let streamed = run.headers.contains_key("x-token-usage");
     let after = run.headers.get("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -201,7 +201,8 @@
         "owner" => slot.owner().map(|owner| owner.to_string()));
     board.metrics.record_time("queue", waited);
     let recent_only = !accepted.route.kind.is_repeatable();
-    let connection = match board.pool.acquire(slot.address(), recent_only, now).await {
+    let attempt = &accepted.head.attempt;
+    let connection = match board.pool.acquire(slot.address(), attempt, recent_only, now).await {
         Ok(connection) => connection,
         Err(e) => {
             slot.release(Outcome::Unreachable);
@@ -240,9 +241,9 @@
     };
     let (parts, body) = response.into_parts();
     let head = board.headers.decode_response(parts.status, &parts.headers);
-    slot.record_load(head.load);
     let checked = check_response(accepted, parts.status, &head);
     if is_from_endpoint(&checked) {
+        slot.record_load(head.load);
         limits::record(board, slot.endpoint(), head.limit);
     }
     if let Err(failure) = checked {
@@ -252,6 +253,7 @@
             _ => Outcome::Failed,
         });
         if matches!(failure, Failure::NotRun(_)) && discard(body).await {
+            connection.record_unfinished(&accepted.head.attempt);
             board.pool.release(connection, head.keep_alive, max_idle(board, accepted), board.now());
         }
         return Err(failure);
@@ -310,8 +312,10 @@
     status: StatusCode,
     head: &response::Head,
 ) -> Result<(), Failure> {
-    if head.attempt.as_ref().is_some_and(|attempt| *attempt != accepted.head.attempt) {
-        return Err(Failure::Lost("answer to another request".into()));
+    match &head.attempt {
+        Some(attempt) if *attempt == accepted.head.attempt => {}
+        Some(_) => return Err(Failure::Lost("answer to another request".into())),
+        None => return Err(Failure::Lost("answer that names no request".into())),
     }
     if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failure::NotRun(status));
@@ -366,7 +370,7 @@
     received: Response,
     history: &History,
 ) -> Result<http::Response<Body>, Failure> {
-    let Response { mut slot, connection, head, parts, body } = received;
+    let Response { mut slot, mut connection, head, parts, body } = received;
     let time_left = accepted.deadline.since(board.now());
     let body = match tokio::time::timeout(time_left, read_whole(board, body)).await {
         Ok(Ok(body)) => body,
@@ -379,6 +383,9 @@
         Err(_) => return Err(Failure::TimedOut),
     };
     let now = board.now();
+    if !parts.status.is_success() {
+        connection.record_unfinished(&accepted.head.attempt);
+    }
     board.pool.release(connection, head.keep_alive, max_idle(board, accepted), now);
     slot.record_events(1);
     let took = now.since(slot.acquired);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,6 +3,10 @@
 //! A connection serves one request at a time. It returns to the pool after a
 //! complete response and is not reused for `SETTLE_TIME`: bytes that arrive in
 //! this time belong to no request and close the connection.
+//!
+//! A second copy of a response may also arrive late, when the next one is
+//! expected. Its attempt identifies it, unless the same attempt is sent again on
+//! that connection. A connection is therefore never used twice for an attempt.
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,6 +16,7 @@
 use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
 use tokio::net::TcpStream;
 use units::Time;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Connect timeout: twice the round trip to the farthest region plus one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -34,6 +39,8 @@
 const MAX_RECENT_IDLE: Duration = Duration::from_millis(700);
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE: usize = 32;
+/// Number of unfinished attempts after which a connection is closed, since it must remember them.
+const MAX_UNFINISHED: usize = 16;
 
 /// Body of a request to an endpoint.
 pub type Body = Full<Bytes>;
@@ -46,11 +53,21 @@
     /// Whether it has carried an earlier request.
     pub reused: bool,
     address: SocketAddr,
+    /// Hashes of the attempts that it has carried and that may be sent again.
+    unfinished: Vec<u64>,
+}
+
+impl Connection {
+    /// Records that an attempt that it has carried may be sent again.
+    pub fn record_unfinished(&mut self, attempt: &str) {
+        self.unfinished.push(xxh3_64(attempt.as_bytes()));
+    }
 }
 
 #[derive(Debug)]
 struct Idle {
     sender: SendRequest<Body>,
+    unfinished: Vec<u64>,
     since: Time,
     until: Time,
 }
@@ -68,39 +85,47 @@
         Self::default()
     }
 
-    /// Takes an idle connection or opens a new one. With `recent_only`, only recently used
-    /// connections are taken.
+    /// Takes an idle connection that has not carried `attempt`, or opens a new one. With
+    /// `recent_only`, only recently used connections are taken.
     ///
     /// # Errors
     /// No connection can be opened.
     pub async fn acquire(
         &self,
         address: SocketAddr,
+        attempt: &str,
         recent_only: bool,
         now: Time,
     ) -> io::Result<Connection> {
-        if let Some(sender) = self.take_idle(address, recent_only, now) {
-            return Ok(Connection { sender, reused: true, address });
+        if let Some(Idle { sender, unfinished, .. }) =
+            self.take_idle(address, attempt, recent_only, now)
+        {
+            return Ok(Connection { sender, reused: true, address, unfinished });
         }
         let sender = connect(address).await?;
-        Ok(Connection { sender, reused: false, address })
+        Ok(Connection { sender, reused: false, address, unfinished: Vec::new() })
     }
 
     fn take_idle(
         &self,
         address: SocketAddr,
+        attempt: &str,
         recent_only: bool,
         now: Time,
-    ) -> Option<SendRequest<Body>> {
+    ) -> Option<Idle> {
+        let attempt = xxh3_64(attempt.as_bytes());
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         connections.retain(|idle| now < idle.until && !idle.sender.is_closed());
         let usable = |idle: &Idle| {
             let age = now.since(idle.since);
-            idle.sender.is_ready() && age >= SETTLE_TIME && !(recent_only && age > MAX_RECENT_IDLE)
+            idle.sender.is_ready()
+                && age >= SETTLE_TIME
+                && !(recent_only && age > MAX_RECENT_IDLE)
+                && !idle.unfinished.contains(&attempt)
         };
         let at = connections.iter().rposition(usable)?;
-        Some(connections.remove(at).sender)
+        Some(connections.remove(at))
     }
 
     /// Returns a connection after a complete response, unless `max_idle` are idle already.
@@ -111,14 +136,18 @@
         max_idle: u32,
         now: Time,
     ) {
+        let Connection { sender, address, unfinished, .. } = connection;
+        if unfinished.len() >= MAX_UNFINISHED {
+            return;
+        }
         let idle_time =
             keep_alive.map_or(DEFAULT_IDLE_TIME, |timeout| timeout.saturating_sub(IDLE_MARGIN));
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(connection.address).or_default();
+        let connections = idle.entry(address).or_default();
         let max_idle = usize::try_from(max_idle).unwrap_or(usize::MAX).min(MAX_IDLE);
         if connections.len() < max_idle && !idle_time.is_zero() {
             let until = now + idle_time;
-            connections.push(Idle { sender: connection.sender, since: now, until });
+            connections.push(Idle { sender, unfinished, since: now, until });
         }
     }
 
