Holder: a late grant is not the answer to the next request for a permit

A stream that was resumed, or rejected and sent again, asked its owner for a second permit under the same identifier. A repeated grant of the first one was then taken for the second: the endpoint that had just failed got the request again, beyond the slots that the owner had counted.

Change: each acquisition has an identifier of its own. Ruled out: comparing endpoints, since the owner may grant the same one again.

Evidence: a_late_grant_is_not_the_answer_to_the_next_request_for_a_permit failed before ("the owner has not answered yet") and passes; the other 23 tests of relay's nodes pass.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -208,7 +208,7 @@
     last_event: Time,
     events: u32,
     load: Option<Load>,
-    /// Request, if the owner of the endpoint's cell issued a permit for it.
+    /// Identifier of its permit, if the owner of the endpoint's cell issued one.
     permit: Option<RequestId>,
     /// Selected endpoint.
     pub choice: Choice,
@@ -237,9 +237,14 @@
 
     /// Slot that the owner of a cell has given to this node.
     #[must_use]
-    pub fn with_permit(board: &Rc<Blackboard>, submission: &Submission, choice: Choice) -> Self {
+    pub fn with_permit(
+        board: &Rc<Blackboard>,
+        submission: &Submission,
+        permit: RequestId,
+        choice: Choice,
+    ) -> Self {
         let mut slot = Self::new(board, &submission.service, submission.size, choice);
-        slot.permit = Some(submission.request);
+        slot.permit = Some(permit);
         slot
     }
 
--- a/crates/relay/src/holder.rs
+++ b/crates/relay/src/holder.rs
@@ -109,9 +109,14 @@
     }
 }
 
-fn message(submission: &Submission, avoid: &[EndpointId], now: Time) -> Message {
+fn message(
+    request: RequestId,
+    submission: &Submission,
+    avoid: &[EndpointId],
+    now: Time,
+) -> Message {
     Message::Request(Box::new(Request {
-        request: submission.request,
+        request,
         holder: None,
         service: submission.service.clone(),
         rank: submission.rank,
@@ -137,7 +142,9 @@
     submission: &Submission,
     avoid: &[EndpointId],
 ) -> Option<Result<Slot, Refusal>> {
-    let request = submission.request;
+    // A request may need several permits, one after the other; late messages about one must not be
+    // taken for the next.
+    let request = RequestId::random(&mut rand::rng());
     let (sender, mut responses) = mpsc::unbounded_channel();
     let mut guard = Guard { board, request, asked: Vec::new() };
     for _ in 0..MAX_OWNERS {
@@ -149,7 +156,7 @@
         let mut is_queued = false;
         while unanswered < MAX_UNANSWERED {
             if !is_queued {
-                board.send_message(address, message(submission, avoid, board.now()));
+                board.send_message(address, message(request, submission, avoid, board.now()));
             }
             let wait = if is_queued { RECHECK_INTERVAL } else { RESPONSE_TIMEOUT };
             match tokio::time::timeout(wait, responses.recv()).await {
@@ -212,7 +219,7 @@
     permits.held.insert(request, held);
     drop(permits);
     let choice = Choice { endpoint, address, born, expected, in_flight, candidates: 1 };
-    Some(Slot::with_permit(board, submission, choice))
+    Some(Slot::with_permit(board, submission, request, choice))
 }
 
 fn end(board: &Blackboard, owner: SocketAddr, request: RequestId, outcome: Outcome) {
--- a/crates/relay/tests/nodes/permits.rs
+++ b/crates/relay/tests/nodes/permits.rs
@@ -7,6 +7,7 @@
     configuration::{Backend, Kind, Limits, Organisation, Route},
     dispatcher::{self, Slot, Submission},
     holder, owner, peers,
+    permit::{Grant, Message},
 };
 use sched::{
     backlog::Deadlines,
@@ -394,3 +395,46 @@
         assert!(started.elapsed() < Duration::from_millis(150), "{:?}", started.elapsed());
     });
 }
+
+/// The permit that a node asks for; the node's messages are sent to no one.
+async fn asked_for(board: &Blackboard) -> RequestId {
+    loop {
+        let messages = board.outbox.borrow_mut().take();
+        let mut messages = messages.into_iter().flat_map(|(_, messages)| messages);
+        if let Some(Message::Request(request)) =
+            messages.find(|message| matches!(message, Message::Request(_)))
+        {
+            return request.request;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A repeated grant of a request's first permit was taken for its second, which the owner had not
+/// issued: the endpoint that had just failed the request got it again, beyond its slots.
+#[test]
+fn a_late_grant_is_not_the_answer_to_the_next_request_for_a_permit() {
+    run(async {
+        let owner = "127.0.0.1:9".parse().unwrap();
+        let node = Rc::new(Node::frozen("a", "h", 70, 10).await);
+        introduce(&node.board, "o", owner, "a", 50);
+        let acquire = || {
+            let node = Rc::clone(&node);
+            spawn_local(async move { node.acquire(1).await })
+        };
+        let first = acquire();
+        let grant = Grant {
+            request: asked_for(&node.board).await,
+            endpoint: EndpointId::new("e-0").unwrap(),
+            expected: Duration::ZERO,
+            in_flight: 0,
+        };
+        holder::handle(&node.board, Message::Grant(grant.clone()), owner);
+        first.await.unwrap().unwrap().release(Outcome::AtCapacity);
+        let second = acquire();
+        asked_for(&node.board).await;
+        holder::handle(&node.board, Message::Grant(grant), owner);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(!second.is_finished(), "the owner has not answered yet");
+    });
+}
