--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -88,6 +88,8 @@
     rejected: BTreeSet<String>,
     events: u64,
     pause: Duration,
+    /// Time that a plain request takes.
+    work: Duration,
     /// Part of a prompt under which the worker crashes.
     deadly_part: Option<Box<str>>,
     /// Whether responses end with their connection, without a length or chunks.
@@ -129,6 +131,7 @@
             rejected: BTreeSet::new(),
             events: 5,
             pause: Duration::from_millis(5),
+            work: Duration::ZERO,
             deadly_part: None,
             unframed: false,
             limit: None,
@@ -164,6 +167,11 @@
         state.pause = pause;
     }
 
+    /// Sets the time that a plain request takes.
+    pub fn set_work(&self, work: Duration) {
+        self.state.lock().work = work;
+    }
+
     /// Sets a part of a prompt under which the worker crashes when it begins a response.
     pub fn set_deadly_part(&self, part: &str) {
         self.state.lock().deadly_part = Some(part.into());
@@ -356,6 +364,8 @@
         }
         return written;
     }
+    let work = state.lock().work;
+    tokio::time::sleep(work).await;
     let body = format!("answer to {attempt} by {id}");
     if state.lock().unframed {
         stream.write_all(format!("{head}\r\n{body}").as_bytes()).await?;
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -5,7 +5,7 @@
     configuration::{Configuration, Organisation, Route},
     dispatcher::Submission,
     memory::Reservation,
-    reply::{RETRY_DELAY, Refused},
+    reply::{RETRY_DELAY, RETRY_OTHER_NODE_DELAY, Refused},
     request,
 };
 use bytes::Bytes;
@@ -31,8 +31,6 @@
 const DISPATCH_OVERHEAD: Duration = Duration::from_millis(60);
 /// Prefill time for 1,000 prompt tokens, from the engines' data sheet.
 const PREFILL_PER_THOUSAND: Duration = Duration::from_millis(9);
-/// Delay after which a caller should retry at another node.
-const RETRY_OTHER_NODE_DELAY: Duration = Duration::from_millis(20);
 /// Organisation of requests without a key.
 const ANONYMOUS: &str = "anonymous";
 
@@ -134,7 +132,7 @@
 
 /// Whether a request may still run when this process exits. Streams have no length limit.
 fn outlives_process(board: &Blackboard, route: &Route, deadline: Time) -> bool {
-    let closing = board.phase() == Phase::Closing;
+    let closing = board.phase() >= Phase::Closing;
     closing && (route.kind.is_stream() || board.exit_at.get().is_some_and(|end| deadline > end))
 }
 
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -51,8 +51,8 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Phase of the process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Phase of the process, in the order in which they follow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Accepts requests.
     Serving,
@@ -60,6 +60,10 @@
     Draining,
     /// Connections are closed once idle.
     Closing,
+    /// Requests that wait for an endpoint are refused; those at an endpoint go on.
+    Refusing,
+    /// The process is about to exit: every request that has no response yet gets one.
+    Ending,
 }
 
 /// Shared state of a node.
@@ -217,6 +221,12 @@
         self.phase.subscribe()
     }
 
+    /// Waits until the process reaches a phase.
+    pub async fn reached(&self, phase: Phase) {
+        // The sender lives as long as the blackboard, so that the wait cannot fail.
+        self.subscribe_phase().wait_for(|current| *current >= phase).await.ok();
+    }
+
     /// Whether the node is ready for callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -6,7 +6,7 @@
 //! next. Dropping a [`Slot`] releases it and dispatches the next request.
 
 use crate::{
-    blackboard::Blackboard,
+    blackboard::{Blackboard, Phase},
     digest::{Waiting, short_hash},
     holder,
     permit::{End, Message},
@@ -106,6 +106,11 @@
     pub wait: Duration,
 }
 
+impl Refusal {
+    /// Refusal by a node that is about to exit.
+    pub const DRAINING: Self = Self { code: Code::Draining, wait: Duration::ZERO };
+}
+
 #[derive(Debug)]
 struct Waiter {
     decision: oneshot::Sender<Decision>,
@@ -442,7 +447,7 @@
     match decided.await {
         Ok(Decision::Dispatch(slot)) => Ok(*slot),
         Ok(Decision::Refuse(refusal)) => Err(refusal),
-        Err(_) => Err(Refusal { code: Code::Draining, wait: Duration::ZERO }),
+        Err(_) => Err(Refusal::DRAINING),
     }
 }
 
@@ -454,6 +459,9 @@
     submission: &Submission,
     waiter: Waiter,
 ) -> Result<Refusals, Refusal> {
+    if board.phase() >= Phase::Refusing {
+        return Err(Refusal::DRAINING);
+    }
     let now = board.now();
     let mut dispatcher = board.dispatcher.borrow_mut();
     let dispatcher = &mut *dispatcher;
@@ -478,6 +486,18 @@
     Ok(waiter.into_iter().map(|waiter| (waiter.decision, refusal)).collect())
 }
 
+/// Refuses all queued requests, since the process is about to exit.
+pub fn refuse_all(board: &Blackboard) {
+    let waiters = {
+        let mut dispatcher = board.dispatcher.borrow_mut();
+        dispatcher.backlogs.clear();
+        std::mem::take(&mut dispatcher.waiters)
+    };
+    send_refusals(
+        waiters.into_values().map(|waiter| (waiter.decision, Refusal::DRAINING)).collect(),
+    );
+}
+
 /// Reports refusals to waiting tasks; tasks that have ended are skipped.
 fn send_refusals(refused: Refusals) {
     for (decision, refusal) in refused {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,7 +15,7 @@
     limits,
     pool::Connection,
     quarantine::{self, Site},
-    reply::{self, Body, Refused, end_to_end, millis, response_head},
+    reply::{self, Body, RETRY_OTHER_NODE_DELAY, Refused, end_to_end, millis, response_head},
     response,
     stream::{Relay, Segment},
 };
@@ -80,8 +80,8 @@
     let head = board.headers.decode_request(request.headers());
     let attempt: Box<str> = head.as_ref().map_or_else(|_| "".into(), |h| h.attempt.clone());
     let caller = Caller { board: &board, attempt: &attempt, answered: Cell::new(false) };
-    let result = match admission::check(&board, head, request).await {
-        Ok(accepted) => run(&board, Rc::new(accepted)).await,
+    let result = match before_end(&board, admission::check(&board, head, request), unread).await {
+        Ok(accepted) => before_end(&board, run(&board, Rc::new(accepted)), cut).await,
         Err(refused) => Err(refused),
     };
     caller.answered.set(true);
@@ -94,6 +94,30 @@
     Ok(response)
 }
 
+/// Result of `work`; if the process ends before, that of `ending`.
+async fn before_end<T>(
+    board: &Blackboard,
+    work: impl Future<Output = Result<T, Refused>>,
+    ending: impl Fn() -> Refused,
+) -> Result<T, Refused> {
+    tokio::select! {
+        biased;
+        result = work => result,
+        () = board.reached(Phase::Ending) => Err(ending()),
+    }
+}
+
+/// Refusal of a request that was not read completely when the process ends.
+fn unread() -> Refused {
+    let refused = Refused::new(Code::Draining, "the process ends before the request was read");
+    refused.with_retry_after(RETRY_OTHER_NODE_DELAY)
+}
+
+/// Failure of a request that was at an endpoint when the process ends.
+fn cut() -> Refused {
+    Refused::new(Code::AnswerCut, "the process ends before the response")
+}
+
 /// Runs a validated request.
 async fn run(
     board: &Rc<Blackboard>,
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -8,7 +8,7 @@
     admission,
     blackboard::Blackboard,
     dispatcher::Refusal,
-    reply::{RETRY_DELAY, Refused, millis},
+    reply::{RETRY_DELAY, RETRY_OTHER_NODE_DELAY, Refused, millis},
 };
 use codes::{Code, Event};
 use http::StatusCode;
@@ -114,10 +114,10 @@
             format!("{} expects to wait {} ms", accepted.submission.service, millis(refusal.wait));
         let refused = self.refuse(refusal.code, &cause);
         let jitter = rand::random_range(0.8..1.2);
-        let wait = if refusal.code == Code::AllotmentSpent {
-            refusal.wait
-        } else {
-            refusal.wait.max(RETRY_DELAY).min(time_left / RETRY_AFTER_DIVISOR).mul_f64(jitter)
+        let wait = match refusal.code {
+            Code::AllotmentSpent => refusal.wait,
+            Code::Draining => RETRY_OTHER_NODE_DELAY,
+            _ => refusal.wait.max(RETRY_DELAY).min(time_left / RETRY_AFTER_DIVISOR).mul_f64(jitter),
         };
         if self.possible_runs > 0 { refused } else { refused.with_retry_after(wait) }
     }
--- a/crates/relay/src/holder.rs
+++ b/crates/relay/src/holder.rs
@@ -13,7 +13,7 @@
 //! [`crate::dispatcher`].
 
 use crate::{
-    blackboard::Blackboard,
+    blackboard::{Blackboard, Phase},
     dispatcher::{Refusal, Slot, Submission},
     owner,
     permit::{End, Grant, Message, Request},
@@ -145,6 +145,9 @@
     // A request may need several permits, one after the other; late messages about one must not be
     // taken for the next.
     let request = RequestId::random(&mut rand::rng());
+    if board.phase() >= Phase::Refusing {
+        return Some(Err(Refusal::DRAINING));
+    }
     let (sender, mut responses) = mpsc::unbounded_channel();
     let mut guard = Guard { board, request, asked: Vec::new() };
     for _ in 0..MAX_OWNERS {
@@ -168,7 +171,9 @@
                     return take(board, submission, owner, grant).map(Ok);
                 }
                 Ok(Some(Response::Refused(refusal))) => {
-                    guard.finish();
+                    if refusal != Refusal::DRAINING {
+                        guard.finish();
+                    }
                     return Some(Err(refusal));
                 }
                 Ok(Some(Response::Declined(owner))) if owner == address => break,
@@ -226,6 +231,15 @@
     board.send_message(owner, Message::End(End { request, outcome, gap: None }));
 }
 
+/// Refuses all requests that wait for a permit, since the process is about to exit. Their owners
+/// are told.
+pub fn refuse_all(board: &Blackboard) {
+    for pending in board.permits.borrow().pending.values() {
+        // A task that has ended needs no response.
+        pending.send(Response::Refused(Refusal::DRAINING)).ok();
+    }
+}
+
 /// Handles a response of an owner.
 pub fn handle(board: &Blackboard, message: Message, from: SocketAddr) {
     let (request, response) = match message {
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -4,6 +4,12 @@
 //! requests, asking callers to close their connections. Once the load balancer
 //! has had time to notice, idle connections are closed. The process exits after
 //! its last response, or just before the grace period ends.
+//!
+//! A closed connection tells a caller nothing, and it may not repeat a request
+//! that may run at most once. Before the grace period ends, requests that still
+//! wait are therefore refused, so that they are not sent to an endpoint just to
+//! be cut off. Those that are at an endpoint until the end get a response that
+//! promises nothing. Only streams that have begun are cut.
 
 use crate::{
     announce,
@@ -24,8 +30,12 @@
 /// Time for the load balancer to notice that the node is not ready: two check intervals and a slow
 /// response.
 const READINESS_DELAY: Duration = Duration::from_millis(2_600);
-/// Part of the grace period reserved for sending the last bytes.
+/// Part of the grace period reserved for the last responses and their bytes.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time for the last responses to be sent, within [`GRACE_MARGIN`].
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+/// Part of the drain, as a divisor, at whose end no request is sent to an endpoint any more.
+const REFUSING_DIVISOR: u32 = 4;
 /// Interval at which a draining node checks for the end of its last response.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay after which a task that panicked runs again.
@@ -123,17 +133,43 @@
     loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         let elapsed = board.now().since(started);
-        if elapsed >= READINESS_DELAY && board.phase() == Phase::Draining {
-            board.set_phase(Phase::Closing);
-        }
-        let done = board.phase() == Phase::Closing && board.in_progress.get() == 0;
-        if done || elapsed >= max_drain {
+        enter(board, phase_after(elapsed, max_drain));
+        let done = board.phase() >= Phase::Closing && board.in_progress.get() == 0;
+        if done || elapsed >= max_drain + ANSWER_TIME {
             break;
         }
     }
     peers::announce_leave(board, socket);
 }
 
+/// Phase some time after the stop signal.
+fn phase_after(elapsed: Duration, max_drain: Duration) -> Phase {
+    if elapsed >= max_drain {
+        Phase::Ending
+    } else if elapsed >= max_drain - max_drain / REFUSING_DIVISOR {
+        Phase::Refusing
+    } else if elapsed >= READINESS_DELAY {
+        Phase::Closing
+    } else {
+        Phase::Draining
+    }
+}
+
+fn enter(board: &Blackboard, phase: Phase) {
+    let before = board.phase();
+    if phase <= before {
+        return;
+    }
+    board.set_phase(phase);
+    info!(board.log, "draining"; Event::Draining, "phase" => format!("{phase:?}"),
+        "in_progress" => board.in_progress.get(),
+        "waiting" => board.dispatcher.borrow().waiting());
+    if phase >= Phase::Refusing && before < Phase::Refusing {
+        dispatcher::refuse_all(board);
+        holder::refuse_all(board);
+    }
+}
+
 async fn maintain(board: Rc<Blackboard>) {
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
--- a/crates/relay/src/owner.rs
+++ b/crates/relay/src/owner.rs
@@ -22,9 +22,9 @@
 
 use crate::{
     blackboard::Blackboard,
-    dispatcher::{self, Slot, Submission},
+    dispatcher::{self, Refusal, Slot, Submission},
     holder::CONFIRM_INTERVAL,
-    permit::{End, Grant, Message, Pressure, Refusal, Request},
+    permit::{self, End, Grant, Message, Pressure, Request},
 };
 use codes::Event;
 use sched::{
@@ -174,12 +174,7 @@
     }
     // A node that has just started is still asked by those that knew its predecessor.
     if !board.is_ready() {
-        board.metrics.count("permit", "declined");
-        // If another owner has forwarded it, its holder knows that one only.
-        if request.holder.is_none() {
-            board.send_message(holder, Message::Decline(id));
-        }
-        return;
+        return decline(board, id, holder, request.holder.is_some());
     }
     let was_acting = board.is_owner(&request.service);
     board.cells.borrow_mut().acting.insert(request.service.clone(), now);
@@ -202,6 +197,15 @@
     board.cells.borrow_mut().entries.insert(id, entry);
 }
 
+/// Has a holder ask the next node in line.
+fn decline(board: &Blackboard, id: RequestId, holder: SocketAddr, is_forwarded: bool) {
+    board.metrics.count("permit", "declined");
+    // If another owner has forwarded the request, its holder knows that one only.
+    if !is_forwarded {
+        board.send_message(holder, Message::Decline(id));
+    }
+}
+
 /// Answer to a request that is known already.
 fn repeated_answer(board: &Blackboard, id: RequestId) -> Option<Message> {
     match &board.cells.borrow().entries.get(&id)?.state {
@@ -233,6 +237,7 @@
 async fn serve(board: Rc<Blackboard>, request: Request, holder: SocketAddr) {
     let now = board.now();
     let id = request.request;
+    let is_forwarded = request.holder.is_some();
     let submission = Submission {
         request: id,
         service: request.service,
@@ -266,8 +271,12 @@
         }
         Err(refusal) => {
             board.cells.borrow_mut().entries.remove(&id);
+            if refusal == Refusal::DRAINING {
+                return decline(&board, id, holder, is_forwarded);
+            }
             let (code, wait) = (refusal.code, refusal.wait);
-            board.send_message(holder, Message::Refuse(Refusal { request: id, code, wait }));
+            board
+                .send_message(holder, Message::Refuse(permit::Refusal { request: id, code, wait }));
         }
     }
 }
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -15,6 +15,8 @@
 
 /// Retry delay stated to callers when there is no room.
 pub const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Delay after which a caller should retry at another node.
+pub const RETRY_OTHER_NODE_DELAY: Duration = Duration::from_millis(20);
 
 /// Headers that apply to a single connection.
 const HOP_BY_HOP: [HeaderName; 8] = [
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -94,7 +94,7 @@
     };
     // A connection accepted while closing still gets one response, which tells the caller more than
     // a closed connection.
-    let closing = board.phase() == Phase::Closing;
+    let closing = board.phase() >= Phase::Closing;
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
@@ -106,11 +106,10 @@
         connection.await.ok();
         return;
     }
-    let mut phases = board.subscribe_phase();
     tokio::select! {
         // Connection errors are not logged; each request logs its own outcome.
         result = connection.as_mut() => { result.ok(); }
-        _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
+        () = board.reached(Phase::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await.ok();
         }
