Lifecycle: a stopping node writes its responses before it exits

Cause: a request counted as ended when its handler returned, while the bytes of its response were still in the node's memory.

Change: a request is in progress until its connection has flushed the response. Ruled out: waiting for all connections to close, since one that has sent nothing stays open.

--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -90,6 +90,8 @@
     pause: Duration,
     /// Time that a plain request takes.
     work: Duration,
+    /// Bytes that are appended to plain responses.
+    padding: usize,
     /// Part of a prompt under which the worker crashes.
     deadly_part: Option<Box<str>>,
     /// Whether responses end with their connection, without a length or chunks.
@@ -132,6 +134,7 @@
             events: 5,
             pause: Duration::from_millis(5),
             work: Duration::ZERO,
+            padding: 0,
             deadly_part: None,
             unframed: false,
             limit: None,
@@ -172,6 +175,11 @@
         self.state.lock().work = work;
     }
 
+    /// Sets the number of bytes that are appended to plain responses.
+    pub fn set_padding(&self, padding: usize) {
+        self.state.lock().padding = padding;
+    }
+
     /// Sets a part of a prompt under which the worker crashes when it begins a response.
     pub fn set_deadly_part(&self, part: &str) {
         self.state.lock().deadly_part = Some(part.into());
@@ -364,9 +372,12 @@
         }
         return written;
     }
-    let work = state.lock().work;
+    let (work, padding) = {
+        let state = state.lock();
+        (state.work, " ".repeat(state.padding))
+    };
     tokio::time::sleep(work).await;
-    let body = format!("answer to {attempt} by {id}");
+    let body = format!("answer to {attempt} by {id}{padding}");
     if state.lock().unframed {
         stream.write_all(format!("{head}\r\n{body}").as_bytes()).await?;
         return Ok(false);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -14,6 +14,7 @@
     history::{Failure, History},
     limits,
     pool::Connection,
+    progress::{self, Unwritten},
     quarantine::{self, Site},
     reply::{self, Body, RETRY_OTHER_NODE_DELAY, Refused, end_to_end, millis, response_head},
     response,
@@ -36,22 +37,6 @@
 /// Time limit for such a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Counts a request as in progress until dropped.
-struct Guard<'a>(&'a Cell<usize>);
-
-impl<'a> Guard<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-}
-
-impl Drop for Guard<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Logs a caller that leaves before the response head; its task is dropped in that case.
 struct Caller<'a> {
     board: &'a Blackboard,
@@ -68,15 +53,16 @@
     }
 }
 
-/// Handles one request of a caller.
+/// Handles one request of a caller, on the connection of `unwritten`.
 ///
 /// # Errors
 /// Never; the HTTP server requires a result.
 pub async fn handle(
     board: Rc<Blackboard>,
+    unwritten: Unwritten,
     request: http::Request<Incoming>,
 ) -> Result<http::Response<Body>, Infallible> {
-    let _guard = Guard::new(&board.in_progress);
+    let in_progress = progress::Request::new(&board);
     let head = board.headers.decode_request(request.headers());
     let attempt: Box<str> = head.as_ref().map_or_else(|_| "".into(), |h| h.attempt.clone());
     let caller = Caller { board: &board, attempt: &attempt, answered: Cell::new(false) };
@@ -91,7 +77,8 @@
     if board.phase() != Phase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    let progress = progress::Response::new(in_progress, unwritten);
+    Ok(response.map(|body| body.with_response(progress)))
 }
 
 /// Result of `work`; if the process ends before, that of `ending`.
@@ -431,7 +418,7 @@
         "total_ms" => millis(now.since(accepted.arrived)), "runs" => history.possible_runs + 1);
     board.metrics.count("answered", parts.status.as_str());
     board.metrics.record_time("answer", now.since(accepted.arrived));
-    Ok(response_head(&parts).map(|()| Body::Full(Full::new(body))))
+    Ok(response_head(&parts).map(|()| Body::full(body)))
 }
 
 /// Forwards a stream once its first event has arrived.
@@ -446,5 +433,5 @@
     let mut relay = Relay::new(Rc::clone(board), Rc::clone(accepted), segment);
     relay.wait_first_event().await?;
     relay.take_history(std::mem::take(history));
-    Ok(head.map(|()| Body::Relay(Box::new(relay))))
+    Ok(head.map(|()| Body::relay(relay)))
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod peers;
 pub mod permit;
 pub mod pool;
+pub mod progress;
 pub mod quarantine;
 pub mod reply;
 pub mod request;
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -1,6 +1,6 @@
 //! Responses and refusals to callers.
 
-use crate::{blackboard::Blackboard, stream::Relay};
+use crate::{blackboard::Blackboard, progress, stream::Relay};
 use bytes::Bytes;
 use codes::{Code, Event};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header, response};
@@ -32,13 +32,39 @@
 
 /// Body of a response to a caller.
 #[derive(Debug)]
-pub enum Body {
-    /// Complete body.
+pub struct Body {
+    content: Content,
+    /// Keeps the request in progress while the body is passed to the connection.
+    response: Option<progress::Response>,
+}
+
+#[derive(Debug)]
+enum Content {
     Full(Full<Bytes>),
-    /// Stream of events.
     Relay(Box<Relay>),
 }
 
+impl Body {
+    /// Complete body.
+    #[must_use]
+    pub fn full(bytes: Bytes) -> Self {
+        Self { content: Content::Full(Full::new(bytes)), response: None }
+    }
+
+    /// Stream of events.
+    #[must_use]
+    pub fn relay(relay: Relay) -> Self {
+        Self { content: Content::Relay(Box::new(relay)), response: None }
+    }
+
+    /// Body of a request that is in progress until its bytes are written.
+    #[must_use]
+    pub fn with_response(mut self, response: progress::Response) -> Self {
+        self.response = Some(response);
+        self
+    }
+}
+
 impl http_body::Body for Body {
     type Data = Bytes;
     type Error = Box<dyn std::error::Error + Send + Sync>;
@@ -47,25 +73,25 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        match self.get_mut() {
-            Self::Full(full) => Pin::new(full).poll_frame(context).map_err(|e| match e {}),
-            Self::Relay(relay) => relay
+        match &mut self.get_mut().content {
+            Content::Full(full) => Pin::new(full).poll_frame(context).map_err(|e| match e {}),
+            Content::Relay(relay) => relay
                 .poll_events(context)
                 .map(|next| next.map(|result| result.map(Frame::data).map_err(Into::into))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Full(full) => full.is_end_stream(),
-            Self::Relay(_) => false,
+        match &self.content {
+            Content::Full(full) => full.is_end_stream(),
+            Content::Relay(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Full(full) => full.size_hint(),
-            Self::Relay(_) => SizeHint::default(),
+        match &self.content {
+            Content::Full(full) => full.size_hint(),
+            Content::Relay(_) => SizeHint::default(),
         }
     }
 }
@@ -103,7 +129,7 @@
         "executed" => %code.executed(), "cause" => &*refused.cause,
         "retry_after_ms" => refused.retry_after.map(millis));
     board.metrics.count("refused", &code.number().to_string());
-    let mut response = Response::new(Body::Full(Full::default()));
+    let mut response = Response::new(Body::full(Bytes::new()));
     *response.status_mut() =
         StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::{
     blackboard::{Blackboard, Phase},
     exchange,
+    progress::{self, Unwritten},
 };
 use anyhow::{Context, Result};
 use bytes::Bytes;
@@ -88,9 +89,11 @@
     if let Err(e) = configured {
         info!(board.log, "setting socket options failed"; "error" => %e);
     }
+    let unwritten = Unwritten::default();
+    let stream = progress::Connection::new(stream, unwritten.clone());
     let handler = {
         let board = Rc::clone(&board);
-        service_fn(move |request| exchange::handle(Rc::clone(&board), request))
+        service_fn(move |request| exchange::handle(Rc::clone(&board), unwritten.clone(), request))
     };
     // A connection accepted while closing still gets one response, which tells the caller more than
     // a closed connection.
@@ -100,7 +103,7 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES)
         .keep_alive(!closing)
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(stream, handler);
     let mut connection = std::pin::pin!(connection);
     if closing {
         connection.await.ok();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -123,8 +123,6 @@
     longest_gap: Duration,
     /// Whether to ignore silence because no other endpoint may be tried.
     ignore_silence: bool,
-    /// Whether the stream is counted as in progress.
-    counted: bool,
     /// Whether the request has been recorded as one that does not crash endpoints.
     survived: bool,
 }
@@ -146,7 +144,6 @@
             event_count: 0,
             longest_gap: Duration::ZERO,
             ignore_silence: false,
-            counted: false,
             survived: false,
             timer,
             board,
@@ -154,13 +151,9 @@
         }
     }
 
-    /// Takes over the history of the request's earlier attempts and counts the stream as in
-    /// progress.
+    /// Takes over the history of the request's earlier attempts.
     pub fn take_history(&mut self, history: History) {
         self.history = history;
-        self.counted = true;
-        let count = &self.board.in_progress;
-        count.set(count.get() + 1);
     }
 
     /// Waits for the first event.
@@ -410,10 +403,6 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if self.counted {
-            let count = &self.board.in_progress;
-            count.set(count.get() - 1);
-        }
         if let State::Reading(segment) = &self.state {
             info!(self.board.log, "caller left"; Event::CallerLeft,
                 "request" => &*self.accepted.head.attempt, "endpoint" => %segment.slot.endpoint(),
