--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -96,8 +96,10 @@
     deadly_part: Option<Box<str>>,
     /// Whether responses end with their connection, without a length or chunks.
     unframed: bool,
+    /// Load that responses state.
+    load: Box<str>,
     /// Limit that responses name, in requests per second.
-    limit: Option<f64>,
+    limit: Option<Box<str>>,
     stop: watch::Sender<bool>,
 }
 
@@ -137,6 +139,7 @@
             padding: 0,
             deadly_part: None,
             unframed: false,
+            load: "1,0,4,100".into(),
             limit: None,
             stop,
         }));
@@ -197,7 +200,17 @@
 
     /// Names a limit in responses, in requests per second, or none.
     pub fn set_limit(&self, limit: Option<f64>) {
-        self.state.lock().limit = limit;
+        self.state.lock().limit = limit.map(|limit| limit.to_string().into());
+    }
+
+    /// Names a limit in responses, which need not be a number.
+    pub fn set_limit_text(&self, limit: &str) {
+        self.state.lock().limit = Some(limit.into());
+    }
+
+    /// Sets the load that responses state, which need not be valid.
+    pub fn set_load(&self, load: &str) {
+        self.state.lock().load = load.into();
     }
 
     /// Whether the worker has crashed.
@@ -354,9 +367,11 @@
         format!("X-Response-Signature: {id}.{attempt}\r\n")
     };
     let status = if fault == Fault::Error { "500 Internal Server Error" } else { "200 OK" };
-    let limit = state.lock().limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
-    let limit = limit.unwrap_or_default();
-    let load = "X-Server-Load: 1,0,4,100\r\n";
+    let (load, limit) = {
+        let state = state.lock();
+        let limit = state.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
+        (format!("X-Server-Load: {}\r\n", state.load), limit.unwrap_or_default())
+    };
     let head = format!("HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\n{load}{limit}{signature}");
     match fault {
         Fault::HeadWithoutEnd => return write_without_end(stream, &head, "X-Pad: pad\r\n").await,
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -20,8 +20,9 @@
     settings::Settings,
     transfer::Library,
 };
+use codes::Event;
 use sched::{budget::Budget, fleet::Fleet, quarantine::Tracker, quota::Limiter};
-use slog::Logger;
+use slog::{Logger, error};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap},
@@ -221,6 +222,12 @@
         self.phase.subscribe()
     }
 
+    /// Logs and counts a task that met an unexpected error; the panic hook has printed it.
+    pub fn record_panic(&self, task: &'static str) {
+        self.metrics.count("task_failed", task);
+        error!(self.log, "task failed"; Event::TaskFailed, "task" => task);
+    }
+
     /// Waits until the process reaches a phase.
     pub async fn reached(&self, phase: Phase) {
         // The sender lives as long as the blackboard, so that the wait cannot fail.
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -19,7 +19,13 @@
     backlog::{Backlog, Deadlines},
     fleet::{Choice, Fleet, Load, Outcome, Query, Size},
 };
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    panic::{AssertUnwindSafe, catch_unwind},
+    rc::Rc,
+    time::Duration,
+};
 use tokio::sync::{Notify, oneshot};
 use units::{
     EndpointId, Fingerprint, InstanceId, OrganisationId, Rank, RequestId, ServiceId, Time, Tokens,
@@ -334,7 +340,19 @@
         }
         fleet.finish(endpoint, self.size, self.has_response, self.outcome, now);
         drop(fleet);
-        dispatch_service(&self.board, &self.service);
+        self.dispatch_next();
+    }
+}
+
+impl Slot {
+    /// Gives the slot to the next request. An unexpected error must not reach the task of the request
+    /// that has released it.
+    fn dispatch_next(&self) {
+        let board = &self.board;
+        let dispatch = AssertUnwindSafe(|| dispatch_service(board, &self.service));
+        if catch_unwind(dispatch).is_err() {
+            board.record_panic("dispatch");
+        }
     }
 }
 
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -125,7 +125,7 @@
     fn check_number(&mut self, event: &[u8]) -> Result<(), Error> {
         let found = number(event).ok_or(Error::Unnumbered)?;
         if let Some(last) = self.last
-            && found != last + 1
+            && last.checked_add(1) != Some(found)
         {
             return Err(Error::Gap { last, found });
         }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -22,12 +22,13 @@
 };
 use bytes::{Bytes, BytesMut};
 use codes::{Code, Event, Executed};
+use futures_util::FutureExt;
 use http::{HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use sched::{fleet::Outcome, quota::Quota};
 use slog::info;
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, panic::AssertUnwindSafe, rc::Rc, time::Duration};
 use units::Tokens;
 
 /// Largest buffered response, in bytes.
@@ -67,7 +68,10 @@
     let attempt: Box<str> = head.as_ref().map_or_else(|_| "".into(), |h| h.attempt.clone());
     let caller = Caller { board: &board, attempt: &attempt, answered: Cell::new(false) };
     let result = match before_end(&board, admission::check(&board, head, request), unread).await {
-        Ok(accepted) => before_end(&board, run(&board, Rc::new(accepted)), cut).await,
+        Ok(accepted) => {
+            let running = AssertUnwindSafe(before_end(&board, run(&board, Rc::new(accepted)), cut));
+            running.catch_unwind().await.unwrap_or_else(|_| Err(failed(&board)))
+        }
         Err(refused) => Err(refused),
     };
     caller.answered.set(true);
@@ -105,6 +109,12 @@
     Refused::new(Code::AnswerCut, "the process ends before the response")
 }
 
+/// Failure of a request whose task met an unexpected error; it may have run.
+fn failed(board: &Blackboard) -> Refused {
+    board.record_panic("request");
+    Refused::new(Code::AnswerCut, "unexpected error")
+}
+
 /// Runs a validated request.
 async fn run(
     board: &Rc<Blackboard>,
@@ -255,7 +265,7 @@
     let checked = check_response(accepted, parts.status, &head);
     if is_from_endpoint(&checked) {
         slot.record_load(head.load);
-        limits::record(board, slot.endpoint(), head.limit);
+        limits::record_response(board, slot.endpoint(), head.limit);
     }
     if let Err(failure) = checked {
         slot.release(match failure {
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -9,7 +9,7 @@
 use crate::{
     blackboard::Blackboard,
     digest::{self, Datagram},
-    dispatcher,
+    dispatcher, response,
 };
 use codes::Event;
 use sched::fleet::{Limit, share};
@@ -27,6 +27,15 @@
 /// Time for which the end of a limit is repeated.
 const END_REPEATED_FOR: Duration = Duration::from_secs(10);
 
+/// Records what a response says of its endpoint's limit.
+pub fn record_response(board: &Blackboard, endpoint: &EndpointId, limit: response::Limit) {
+    match limit {
+        response::Limit::None => record(board, endpoint, None),
+        response::Limit::Rate(rate) => record(board, endpoint, Some(rate)),
+        response::Limit::Malformed => board.metrics.count("limit", "malformed"),
+    }
+}
+
 /// Records the limit that an endpoint names in a response, or that it names none.
 pub fn record(board: &Blackboard, endpoint: &EndpointId, rate: Option<RequestRate>) {
     let now = board.now();
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -4,6 +4,18 @@
 use std::time::Duration;
 use units::RequestRate;
 
+/// What a response says of the requests that its endpoint takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Limit {
+    /// The endpoint does not limit them.
+    #[default]
+    None,
+    /// It limits them to a rate.
+    Rate(RequestRate),
+    /// The rate cannot be parsed, so that it is not known whether there is a limit.
+    Malformed,
+}
+
 /// Decoded headers of an endpoint's response.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Head {
@@ -15,8 +27,8 @@
     pub not_run: bool,
     /// Load that the endpoint reports.
     pub load: Option<Load>,
-    /// Requests that the endpoint takes from all nodes together, if it limits them.
-    pub limit: Option<RequestRate>,
+    /// Requests that the endpoint takes from all nodes together.
+    pub limit: Limit,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -421,8 +421,8 @@
         let peers = self.live_peers(now).flat_map(|(_, peer)| &peer.waiting);
         let for_service = peers.filter(|waiting| waiting.service == service);
         for_service.fold(Waiting { service, requests: 0, shortfall: 0 }, |sum, waiting| Waiting {
-            requests: sum.requests + waiting.requests,
-            shortfall: sum.shortfall + waiting.shortfall,
+            requests: sum.requests.saturating_add(waiting.requests),
+            shortfall: sum.shortfall.saturating_add(waiting.shortfall),
             ..sum
         })
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -8,13 +8,17 @@
 use anyhow::{Context, Result};
 use bytes::Bytes;
 use codes::Event;
+use futures_util::FutureExt;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{info, warn};
 use socket2::{Domain, Socket, Type};
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, net::SocketAddr, panic::AssertUnwindSafe, rc::Rc,
+    time::Duration,
+};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Maximum number of connections waiting to be accepted.
@@ -55,7 +59,10 @@
                 let guard = Guard::new(&open);
                 let board = Rc::clone(&board);
                 tokio::task::spawn_local(async move {
-                    serve_connection(board, stream).await;
+                    let serving = AssertUnwindSafe(serve_connection(Rc::clone(&board), stream));
+                    if serving.catch_unwind().await.is_err() {
+                        board.record_panic("connection");
+                    }
                     drop(guard);
                 });
             }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -300,7 +300,10 @@
         let (kind, newest) = match self.table {
             Table::Configuration => {
                 let newest = board.roster.borrow().observed(now).configuration;
-                (Kind::Configuration, newest.max(Version(board.configuration_version().get() + 1)))
+                (
+                    Kind::Configuration,
+                    newest.max(Version(board.configuration_version().get().saturating_add(1))),
+                )
             }
             Table::Endpoints => (Kind::Directory, board.journal.borrow().required()),
             Table::Nodes => return None,
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -99,3 +99,11 @@
     decoder.discard_partial();
     assert_eq!(push(&mut decoder, &stream(4..6)), Ok(2), "resumed");
 }
+
+/// No number follows the largest one.
+#[test]
+fn event_after_the_largest_number_is_a_gap() {
+    let mut decoder = Decoder::new(Some(u64::MAX));
+    let gap = Error::Gap { last: u64::MAX, found: 0 };
+    assert_eq!(decoder.push(Bytes::from(event(0))), Err(gap));
+}
--- a/crates/sched/src/backlog.rs
+++ b/crates/sched/src/backlog.rs
@@ -24,7 +24,7 @@
     fair::{Queue, TIERS},
 };
 use std::{collections::HashMap, time::Duration};
-use units::{Rank, RequestId, Time};
+use units::{Rank, RequestId, Time, time::duration};
 
 /// Half-life of the measured rates, in seconds; shorter than the shortest burst.
 const RATE_HALF_LIFE_S: f64 = 1.0;
@@ -147,7 +147,7 @@
         if left * longest <= ahead {
             return MAX_WAIT;
         }
-        Duration::from_secs_f64(ahead / left)
+        duration(ahead / left)
     }
 
     /// Expected wait of a new request, if that exceeds what its deadlines allow.
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -57,7 +57,7 @@
     net::SocketAddr,
     time::Duration,
 };
-use units::{EndpointId, InstanceId, RequestRate, ServiceId, Time, Tokens};
+use units::{EndpointId, InstanceId, RequestRate, ServiceId, Time, Tokens, time::duration};
 
 /// Time to a first response without prefill, in ms: three steps of an engine.
 const BASE_MS: f64 = 10.0;
@@ -260,7 +260,7 @@
             endpoint: endpoint.listing.id.clone(),
             address: endpoint.listing.address,
             born: endpoint.listing.born,
-            expected: Duration::from_secs_f64(cost / 1_000.0),
+            expected: duration(cost / 1_000.0),
             in_flight: endpoint.load(self.usage_ttl, now).in_flight,
             candidates,
         })
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -6,6 +6,8 @@
 
 /// Assumed slots of an endpoint that reports none; fewer than any endpoint reports.
 const UNKNOWN_SLOTS: u32 = 4;
+/// Limit of the slots that an endpoint states; thousands of endpoints together stay far below 2^32.
+const MAX_SLOTS: u32 = 100_000;
 /// Slots that a node may use at an endpoint before the first allocation; all nodes learn of a new
 /// endpoint at once.
 const INITIAL_ALLOCATION: u32 = 1;
@@ -91,14 +93,14 @@
     }
 
     pub(super) fn slots(&self) -> u32 {
-        if self.listing.slots == 0 { UNKNOWN_SLOTS } else { self.listing.slots }
+        if self.listing.slots == 0 { UNKNOWN_SLOTS } else { self.listing.slots.min(MAX_SLOTS) }
     }
 
     pub(super) fn load(&self, ttl: Duration, now: Time) -> Usage {
         let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < ttl);
         fresh.fold(self.own, |sum, (usage, _)| Usage {
-            in_flight: sum.in_flight + usage.in_flight,
-            pending_prefill: Tokens(sum.pending_prefill.0 + usage.pending_prefill.0),
+            in_flight: sum.in_flight.saturating_add(usage.in_flight),
+            pending_prefill: Tokens(sum.pending_prefill.0.saturating_add(usage.pending_prefill.0)),
         })
     }
 
@@ -150,7 +152,7 @@
     pub(super) fn start(&mut self, size: Size) {
         self.own.in_flight += 1;
         self.allocated = self.allocated.saturating_sub(1);
-        self.own.pending_prefill.0 += size.prompt.0;
+        self.own.pending_prefill.0 = self.own.pending_prefill.0.saturating_add(size.prompt.0);
     }
 
     /// Records the first response of a request.
@@ -193,8 +195,11 @@
         self.gap_ms = Some(usual * (1.0 + step));
     }
 
-    /// Records a load report.
+    /// Records a load report; one whose slowdown is not a number says nothing.
     pub(super) fn record_load(&mut self, report: Load, now: Time) {
+        if !report.slowdown.is_finite() {
+            return;
+        }
         self.slowdown = report.slowdown.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1);
         self.slowdown_at = now;
     }
--- a/crates/sched/src/fleet/slots.rs
+++ b/crates/sched/src/fleet/slots.rs
@@ -28,7 +28,7 @@
 impl Pool {
     /// Fraction of the free slots that is reserved for nodes with a shortfall.
     fn reserved(&self) -> f64 {
-        let shortfall = f64::from(self.shortfall + self.shortfall_elsewhere);
+        let shortfall = f64::from(self.shortfall) + f64::from(self.shortfall_elsewhere);
         (shortfall / f64::from(self.free.max(1))).min(1.0)
     }
 
@@ -38,7 +38,7 @@
         if reserved <= 0.0 {
             return share;
         }
-        let shortfall = f64::from(self.shortfall + self.shortfall_elsewhere);
+        let shortfall = f64::from(self.shortfall) + f64::from(self.shortfall_elsewhere);
         share * (1.0 - reserved) + reserved * f64::from(self.shortfall) / shortfall
     }
 
--- a/crates/sched/src/quota.rs
+++ b/crates/sched/src/quota.rs
@@ -12,7 +12,7 @@
 //! share of the rate, so that all partitions together stay within the quota.
 
 use std::{collections::HashMap, time::Duration};
-use units::{InstanceId, OrganisationId, Time, Tokens};
+use units::{InstanceId, OrganisationId, Time, Tokens, time::duration};
 
 /// Quota of an organisation over all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -178,24 +178,24 @@
         let quota = self.usable(quota);
         let bucket = self.bucket(organisation, quota, now);
         bucket.refill(quota, share, now);
-        bucket.requested += cost.0;
+        bucket.requested = bucket.requested.saturating_add(cost.0);
         bucket.changed_at = now;
         bucket.recent = bucket.recent.plus(cost.0, now);
         // A request larger than the burst is admitted when the bucket is full.
         let needed = to_f64(cost).min(to_f64(quota.burst));
         if bucket.level < needed {
             let missing = needed - bucket.level;
-            return Err(Duration::from_secs_f64(missing / (to_f64(quota.rate) * share)));
+            return Err(duration(missing / (to_f64(quota.rate) * share)));
         }
         let is_learning = now.since(bucket.created_at) < learning;
         if bucket.own <= 0.0 && (is_learning || bucket.level < low_level * to_f64(quota.burst)) {
             let missing = to_f64(cost) - bucket.own;
             let rate = to_f64(quota.rate) * share * bucket.part;
-            return Err(Duration::from_secs_f64((missing / rate).min(MAX_WAIT_S)));
+            return Err(duration((missing / rate).min(MAX_WAIT_S)));
         }
         bucket.level -= to_f64(cost);
         bucket.own -= to_f64(cost);
-        bucket.admitted += cost.0;
+        bucket.admitted = bucket.admitted.saturating_add(cost.0);
         Ok(())
     }
 
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -356,3 +356,33 @@
     allocate_all(&mut fleet);
     assert!(is_chosen(&fleet, 3_100));
 }
+
+/// Figures that endpoints, other nodes and other writers state at their extremes. A slowdown that was
+/// not a number made each selection panic; sums of slots and requests overflowed.
+#[test]
+fn figures_out_of_range_do_not_stop_the_selection() {
+    let service = service();
+    let mut fleet = Fleet::new();
+    for number in 0..3 {
+        let listing = Listing { slots: u32::MAX, ..listing(number) };
+        fleet.upsert(listing, Distance::SameZone, Time::ZERO);
+    }
+    for slowdown in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, f64::MAX, f64::MIN] {
+        let load = Load { running: u32::MAX, waiting: u32::MAX, slots: u32::MAX, slowdown };
+        fleet.record_load(&id(0), load, Time::ZERO);
+        allocate_all(&mut fleet);
+        assert!(fleet.select(&query(&service, 10), Time::ZERO).is_some(), "{slowdown}");
+    }
+    let usage = Usage { in_flight: u32::MAX, pending_prefill: Tokens(u64::MAX) };
+    for peer in ["p-1", "p-2"] {
+        let usage = HashMap::from([(id(1), usage), (id(2), usage)]);
+        fleet.set_peer_usage(&InstanceId::new(peer).unwrap(), &usage, Time::ZERO);
+    }
+    fleet.set_waiting(&service, true, u32::MAX);
+    allocate_all(&mut fleet);
+    assert!(fleet.capacity(&service, Time::ZERO).free > 0);
+    assert_eq!(fleet.select(&query(&service, 10), Time::ZERO).unwrap().endpoint, id(0));
+    fleet.start(&id(0), Size { prompt: Tokens(u64::MAX), output: Tokens(u64::MAX) });
+    fleet.start(&id(0), Size { prompt: Tokens(u64::MAX), output: Tokens(u64::MAX) });
+    allocate_all(&mut fleet);
+}
--- a/crates/sched/tests/quota.rs
+++ b/crates/sched/tests/quota.rs
@@ -181,3 +181,14 @@
     let most = 600_000 + 600_000 + 5_000 * 78;
     assert!(admitted <= most, "{admitted} tokens in the first second, {most} expected at most");
 }
+
+/// A request larger than any burst leaves the bucket so low that the wait is longer than a duration.
+#[test]
+fn absurd_cost_is_refused_for_long_and_not_a_panic() {
+    let mut limiter = Limiter::new();
+    let now = Time::from_millis(1_000);
+    let quota = Quota { rate: Tokens(1), burst: Tokens(10) };
+    assert!(limiter.admit(&organisation(), quota, 1.0, Tokens(u64::MAX), now).is_ok());
+    let wait = limiter.admit(&organisation(), quota, 0.01, Tokens(u64::MAX), now);
+    assert!(wait.is_err_and(|wait| wait > Duration::from_secs(3_600)));
+}
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -26,6 +26,6 @@
     /// Cost of a request with `prompt` tokens to prefill and `output` tokens to generate.
     #[must_use]
     pub const fn of(prompt: Tokens, output: Tokens) -> Self {
-        Self(prompt.0 / Self::PROMPT_TOKENS_PER_UNIT + output.0 + 1)
+        Self((prompt.0 / Self::PROMPT_TOKENS_PER_UNIT).saturating_add(output.0).saturating_add(1))
     }
 }
--- a/crates/units/src/time.rs
+++ b/crates/units/src/time.rs
@@ -14,6 +14,16 @@
     pub struct Time(pub u64);
 }
 
+/// Longest duration that [`duration`] returns, in seconds: beyond any timeout, and short enough to
+/// be multiplied.
+const MAX_SECONDS: f64 = 1e9;
+
+/// Duration of a computed number of seconds; zero if that is negative or not a number.
+#[must_use]
+pub fn duration(seconds: f64) -> Duration {
+    if seconds > 0.0 { Duration::from_secs_f64(seconds.min(MAX_SECONDS)) } else { Duration::ZERO }
+}
+
 impl Time {
     /// Start of the clock.
     pub const ZERO: Self = Self(0);
