Admission: bodies in chunks count against the memory as they come

Cause: a body without a stated length was reserved only once it was whole.

Change: memory is reserved for each piece as it comes; without it, 503. Ruled out: a limit on the number of bodies, since most are small.

Evidence: bodies_in_chunks_are_refused_when_they_exceed_the_memory failed before ("0 of 20 were refused") and passed in two runs.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -8,7 +8,7 @@
     reply::{RETRY_DELAY, RETRY_OTHER_NODE_DELAY, Refused},
     request,
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use codes::Code;
 use http::{HeaderMap, Method, header, uri::PathAndQuery};
 use http_body::Body as _;
@@ -214,18 +214,32 @@
         return Err(no_memory());
     }
     let limit = usize::try_from(limits.max_body.get()).unwrap_or(usize::MAX);
-    let reading = Limited::new(body, limit).collect();
-    let time = limits.header_timeout.min(deadline.since(board.now()));
-    match tokio::time::timeout(time, reading).await {
-        Ok(Ok(body)) => {
-            let body = body.to_bytes();
-            if reservation.raise(body.len()) { Ok((body, reservation)) } else { Err(no_memory()) }
-        }
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err(Refused::new(Code::BodyTooLarge, format!("more than {limit} bytes came")))
+    let reading = async {
+        let mut body = Limited::new(body, limit);
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| unreadable(&*e, limit))?;
+            let Ok(chunk) = frame.into_data() else { continue };
+            // A body in chunks states no length, so that its memory is reserved as it comes.
+            if !reservation.raise(whole.len() + chunk.len()) {
+                return Err(no_memory());
+            }
+            whole.extend_from_slice(&chunk);
         }
-        Ok(Err(e)) => Err(Refused::new(Code::Malformed, format!("body: {e}"))),
-        Err(_) => Err(Refused::new(Code::SlowSender, "the body did not arrive in time")),
+        Ok(whole.freeze())
+    };
+    let time = limits.header_timeout.min(deadline.since(board.now()));
+    let slow = |_| Refused::new(Code::SlowSender, "the body did not arrive in time");
+    let body = tokio::time::timeout(time, reading).await.map_err(slow)??;
+    Ok((body, reservation))
+}
+
+/// Refusal of a request whose body cannot be read.
+fn unreadable(error: &(dyn std::error::Error + 'static), limit: usize) -> Refused {
+    if error.is::<LengthLimitError>() {
+        Refused::new(Code::BodyTooLarge, format!("more than {limit} bytes came"))
+    } else {
+        Refused::new(Code::Malformed, format!("body: {error}"))
     }
 }
 
