Soak: garbled answers, checked by what was sent, run and answered

Rejections are recorded, too, and a violation of REFUSED, TWICE or BUDGET prints what was sent, rejected, run and answered.

--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -42,6 +42,13 @@
     /// The first sending of each attempt is rejected, and the rejection is sent once more when the
     /// next request comes on its connection.
     RejectAndRepeat,
+    /// Every third request is rejected, and every other plain response or rejection is sent once
+    /// more when the next request comes on its connection.
+    LateCopies,
+    /// Requests with a body are rejected before the body is read.
+    EarlyRejection,
+    /// Requests run, and bytes that are no response come in place of one.
+    Garbage,
     /// Requests run, and a rejection that names no request precedes the response.
     UnnamedRejection,
     /// Requests run, and the connection is closed without a response.
@@ -79,11 +86,23 @@
     pub disconnected_at: Option<Instant>,
 }
 
+/// Rejection of a request.
+#[derive(Debug, Clone)]
+pub struct Rejection {
+    /// Attempt id.
+    pub attempt: String,
+    /// Time the request was received.
+    pub at: Instant,
+}
+
 #[derive(Debug)]
 struct State {
     id: String,
     fault: Fault,
     runs: Vec<Run>,
+    rejections: Vec<Rejection>,
+    /// Requests received with [`Fault::LateCopies`].
+    received: usize,
     /// Attempts rejected with [`Fault::RejectAndRepeat`].
     rejected: BTreeSet<String>,
     events: u64,
@@ -104,6 +123,12 @@
 }
 
 impl State {
+    /// Records a rejection and returns it.
+    fn reject(&mut self, attempt: &str) -> String {
+        self.rejections.push(Rejection { attempt: attempt.to_owned(), at: Instant::now() });
+        rejection(UNAVAILABLE, &format!("X-Attempt-Id: {attempt}\r\n"))
+    }
+
     fn crashes_under(&self, run: &Run) -> bool {
         let prompt = run.headers.get("x-prompt-prefix").map(String::as_str).unwrap_or_default();
         let mut parts = prompt.split(',').filter_map(|part| part.split(':').next());
@@ -132,6 +157,8 @@
             id: id.to_owned(),
             fault: Fault::None,
             runs: Vec::new(),
+            rejections: Vec::new(),
+            received: 0,
             rejected: BTreeSet::new(),
             events: 5,
             pause: Duration::from_millis(5),
@@ -228,6 +255,12 @@
         }
     }
 
+    /// Rejections so far.
+    #[must_use]
+    pub fn rejections(&self) -> Vec<Rejection> {
+        self.state.lock().rejections.clone()
+    }
+
     /// Runs so far.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -257,16 +290,28 @@
 async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>) -> Result<()> {
     let mut buffer = Vec::new();
     let mut late = None;
-    while let Some(run) = read(&mut stream, &mut buffer).await? {
-        let keep_alive = respond(&mut stream, &state, run, &mut late).await?;
-        if !keep_alive {
+    while let Some((mut run, length)) = read_head(&mut stream, &mut buffer).await? {
+        let is_early = length > 0 && state.lock().fault == Fault::EarlyRejection;
+        if is_early {
+            let response = state.lock().reject(&run.attempt);
+            stream.write_all(response.as_bytes()).await?;
+        }
+        while buffer.len() < length {
+            anyhow::ensure!(
+                stream.read_buf(&mut buffer).await? > 0,
+                "connection closed within the request body"
+            );
+        }
+        run.body = buffer.drain(..length).collect();
+        if !is_early && !respond(&mut stream, &state, run, &mut late).await? {
             return Ok(());
         }
     }
     Ok(())
 }
 
-async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Result<Option<Run>> {
+/// Reads the head of a request; its body has the returned length.
+async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Result<Option<(Run, usize)>> {
     let end = loop {
         if let Some(at) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
             break at + 4;
@@ -284,23 +329,17 @@
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
         .collect();
     let length: usize = headers.get("content-length").map_or(Ok(0), |text| text.parse())?;
-    while buffer.len() < end + length {
-        anyhow::ensure!(
-            stream.read_buf(buffer).await? > 0,
-            "connection closed within the request body"
-        );
-    }
-    let body = buffer[end..end + length].to_vec();
-    buffer.drain(..end + length);
+    buffer.drain(..end);
     let attempt = headers.get("x-attempt-id").cloned().unwrap_or_default();
-    Ok(Some(Run {
+    let run = Run {
         attempt,
         request_line: line,
         headers,
-        body,
+        body: Vec::new(),
         started_at: Instant::now(),
         disconnected_at: None,
-    }))
+    };
+    Ok(Some((run, length)))
 }
 
 /// Response that states that a request was not run.
@@ -331,10 +370,17 @@
         return Ok(true);
     }
     let is_first = fault == Fault::RejectAndRepeat && state.lock().rejected.insert(attempt.clone());
-    if fault == Fault::Reject || is_first {
-        let response = rejection(UNAVAILABLE, &named);
+    let number = {
+        let mut state = state.lock();
+        state.received += usize::from(fault == Fault::LateCopies);
+        state.received
+    };
+    let is_third = fault == Fault::LateCopies && number % 3 == 0;
+    let is_copied = fault == Fault::LateCopies && number % 2 == 0;
+    if fault == Fault::Reject || is_first || is_third {
+        let response = state.lock().reject(&attempt);
         stream.write_all(response.as_bytes()).await?;
-        *late = is_first.then_some(response);
+        *late = (is_first || is_copied).then_some(response);
         return Ok(true);
     }
     if fault == Fault::RejectWithoutEnd {
@@ -361,6 +407,10 @@
     if fault == Fault::DropResponse {
         return Ok(false);
     }
+    if fault == Fault::Garbage {
+        stream.write_all(b"\x00\xffno response\r\n\r\n").await?;
+        return Ok(false);
+    }
     let signature = if fault == Fault::Unsigned {
         String::new()
     } else {
@@ -402,6 +452,7 @@
     if fault == Fault::ExtraResponse {
         stream.write_all(response.as_bytes()).await?;
     }
+    *late = is_copied.then_some(response);
     Ok(true)
 }
 
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -74,8 +74,8 @@
     for call in &record.calls {
         let own = runs.get(&*call.attempt).map_or(&[][..], Vec::as_slice);
         violations.extend(check_response(call));
-        violations.extend(check_refusal(call, own));
-        violations.extend(check_runs(call, own));
+        violations.extend(check_refusal(record, call, own));
+        violations.extend(check_runs(record, call, own));
         violations.extend(check_denial(record, call));
         violations.extend(check_loss(record, call, own));
         violations.extend(check_stale_configuration(record, call, own));
@@ -120,17 +120,17 @@
 }
 
 /// A request that may run at most once never runs if its refusal states so.
-fn check_refusal(call: &Call, runs: &[&Run]) -> Option<Violation> {
+fn check_refusal(record: &Record, call: &Call, runs: &[&Run]) -> Option<Violation> {
     let status = call.outcome.status()?;
     let is_false = !call.kind.is_repeatable() && NOT_RUN.contains(&status) && !runs.is_empty();
-    is_false.then(|| violation("REFUSED", format!("{}: status {status}, but it ran", call.attempt)))
+    is_false.then(|| violation("REFUSED", format!("{}: {}", call.attempt, record.trace(call))))
 }
 
 /// No request runs more often than its kind allows.
-fn check_runs(call: &Call, runs: &[&Run]) -> Option<Violation> {
+fn check_runs(record: &Record, call: &Call, runs: &[&Run]) -> Option<Violation> {
     let (rule, max) =
         if call.kind.is_repeatable() { ("BUDGET", MAX_ATTEMPTS) } else { ("TWICE", 1) };
-    (runs.len() > max).then(|| violation(rule, format!("{}: {} runs", call.attempt, runs.len())))
+    (runs.len() > max).then(|| violation(rule, format!("{}: {}", call.attempt, record.trace(call))))
 }
 
 /// Requests are never denied on routes and keys that every configuration contains, nor on others
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -8,7 +8,7 @@
     check,
     plan::{Action, Availability, Hop, Signal, Size},
     proxy::{Link, Mode},
-    record::{Configuration, Disturbance, Drain, Prefix, Record, Run, Scope},
+    record::{Configuration, Disturbance, Drain, Prefix, Record, Rejection, Run, Scope},
 };
 use anyhow::Result;
 use fake_host::{Fault, Node, Store, Worker, testbed};
@@ -422,6 +422,12 @@
         let current = workers.map(|(number, entry)| (number, entry.service, entry.worker));
         for (number, service, worker) in self.replaced.into_iter().chain(current) {
             let since = |at: Instant| at.duration_since(self.start);
+            let rejections = worker.rejections().into_iter();
+            self.record.rejections.extend(rejections.map(|rejection| Rejection {
+                attempt: rejection.attempt.into(),
+                worker: number,
+                at: since(rejection.at),
+            }));
             self.record.runs.extend(worker.runs().into_iter().map(|request| Run {
                 worker: number,
                 service,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context, Result, bail};
 use soak::{
     Report,
-    plan::Size,
+    plan::{Size, Worker},
     regression::{CASES, Case},
 };
 use std::{
@@ -33,6 +33,9 @@
     /// seconds during which faults are injected
     #[argh(option, default = "20")]
     seconds: u64,
+    /// workers that garble their answers all the time
+    #[argh(switch)]
+    garble: bool,
     /// run the seeds that once failed instead
     #[argh(switch)]
     regressions: bool,
@@ -59,6 +62,7 @@
         workers: options.workers,
         callers: options.callers,
         duration: Duration::from_secs(options.seconds),
+        workers_do: if options.garble { Worker::Garble } else { Worker::Fail },
     };
     let cases: Vec<Case> = if options.regressions {
         CASES.to_vec()
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -37,6 +37,18 @@
     pub callers: usize,
     /// Time during which faults are injected.
     pub duration: Duration,
+    /// Faults of workers.
+    pub workers_do: Worker,
+}
+
+/// Faults of the workers in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Worker {
+    /// As often as the other faults, with bytes that are mostly in place.
+    #[default]
+    Fail,
+    /// All the time, with answers that are misplaced, early, late or spoiled.
+    Garble,
 }
 
 /// Identifies a link by the two sides that it connects.
@@ -199,7 +211,20 @@
         }
     }
 
+    fn garbling_fault(&mut self) -> Fault {
+        match self.random.random_range(0..8) {
+            0..=3 => Fault::LateCopies,
+            4 => Fault::EarlyRejection,
+            5 => Fault::Garbage,
+            6 => Fault::UnnamedRejection,
+            _ => Fault::ExtraResponse,
+        }
+    }
+
     fn worker_fault(&mut self) -> Fault {
+        if self.size.workers_do == Worker::Garble {
+            return self.garbling_fault();
+        }
         match self.random.random_range(0..6) {
             0 => Fault::Reject,
             1 => Fault::DropResponse,
@@ -268,6 +293,17 @@
         [Step { at, action: first }].into_iter().chain(last).collect()
     }
 
+    /// Faults of one kind throughout the run.
+    fn series(&mut self, kind: FaultKind) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let mut at = WARMUP;
+        while at < self.size.duration {
+            steps.extend(self.fault_steps(kind, at));
+            at += self.ms(FAULT_INTERVAL_MS);
+        }
+        steps
+    }
+
     /// Changes that operators make throughout the run.
     fn operator_steps(&mut self) -> Vec<Step> {
         let mut steps = Vec::new();
@@ -302,6 +338,9 @@
         let kinds = &kinds[..count];
         let mut generator = Generator { random, size, faulted_nodes };
         let mut steps = generator.operator_steps();
+        if size.workers_do == Worker::Garble {
+            steps.extend(generator.series(FaultKind::WorkerFaults));
+        }
         let mut at = WARMUP;
         while at < size.duration {
             let Some(kind) = kinds.choose(&mut generator.random) else { break };
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -3,7 +3,11 @@
 //! All times are relative to the start of traffic.
 
 use fake_host::worker;
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Display},
+    time::Duration,
+};
 
 /// Kind of request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,6 +113,16 @@
     Abandoned,
 }
 
+impl Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Responded { status, .. } => write!(f, "answered {status}"),
+            Self::Closed => f.write_str("closed without an answer"),
+            Self::Abandoned => f.write_str("given up by the caller"),
+        }
+    }
+}
+
 impl Outcome {
     /// Status, if a response arrived.
     #[must_use]
@@ -158,6 +172,17 @@
     pub disconnected_at: Option<Duration>,
 }
 
+/// Rejection of a request by a worker, which has not run it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rejection {
+    /// Id of the attempt.
+    pub attempt: Box<str>,
+    /// Index of the worker.
+    pub worker: usize,
+    /// When the request was received.
+    pub at: Duration,
+}
+
 /// Parts of the system that a disturbance affects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
@@ -211,6 +236,8 @@
     pub calls: Vec<Call>,
     /// Runs at the workers.
     pub runs: Vec<Run>,
+    /// Rejections by the workers.
+    pub rejections: Vec<Rejection>,
     /// Disturbances.
     pub disturbances: Vec<Disturbance>,
     /// Configurations, in the order of their times.
@@ -253,6 +280,22 @@
         !self.disturbances.iter().any(|d| affects(d.scope) && overlaps(d))
     }
 
+    /// What was sent, rejected, run and answered of an attempt, in the order of the times.
+    #[must_use]
+    pub fn trace(&self, call: &Call) -> String {
+        let mut steps = vec![
+            (call.sent_at, format!("sent to n-{}", call.node)),
+            (call.ended_at, call.outcome.to_string()),
+        ];
+        let rejections = self.rejections.iter().filter(|known| known.attempt == call.attempt);
+        steps.extend(rejections.map(|r| (r.at, format!("rejected by worker {}", r.worker))));
+        let runs = self.runs.iter().filter(|run| *run.request.attempt == *call.attempt);
+        steps.extend(runs.map(|run| (run.started_at, format!("ran at worker {}", run.worker))));
+        steps.sort();
+        let steps = steps.into_iter().map(|(at, step)| format!("{at:.3?} {step}"));
+        steps.collect::<Vec<_>>().join(", ")
+    }
+
     /// Groups the runs by attempt.
     #[must_use]
     pub fn runs_by_attempt(&self) -> BTreeMap<&str, Vec<&Run>> {
--- a/crates/soak/src/regression.rs
+++ b/crates/soak/src/regression.rs
@@ -1,6 +1,6 @@
 //! Seeds that once failed, each with its cause.
 
-use crate::plan::Size;
+use crate::plan::{Size, Worker};
 use std::time::Duration;
 
 /// Seed that is run again.
@@ -15,7 +15,8 @@
 }
 
 const fn default_size(seconds: u64) -> Size {
-    Size { nodes: 5, workers: 8, callers: 30, duration: Duration::from_secs(seconds) }
+    let duration = Duration::from_secs(seconds);
+    Size { nodes: 5, workers: 8, callers: 30, duration, workers_do: Worker::Fail }
 }
 
 /// All cases.
