--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -543,7 +543,14 @@
     let Update { rows, version, complete } = update;
     let mut present = BTreeSet::new();
     for row in rows {
-        let Ok(id) = EndpointId::new(&row.key) else { continue };
+        let id = match EndpointId::new(&row.key) {
+            Ok(id) => id,
+            Err(e) => {
+                info!(board.log, "entry ignored"; Event::EntryIgnored, "endpoint" => &*row.key,
+                    "error" => %e);
+                continue;
+            }
+        };
         let Some(value) = row.value else {
             // The store assigns no version to a deleted row.
             missing.push((id, version));
