Stream: a resumption without events does not complete the stream

Reported by other operators: a stream had begun and broke off, and the next worker answered with an error; clients found the error's text or head in their stream, or it ended as if it were complete.

Here: streams that break off after three events were continued at a worker that fails in eleven ways: errors, rejections with and without an end, late or unnamed, no answer, bytes that are no response, no receipt, a plain answer, a head or body without end. No byte of these reached a client, and no stream seemed complete. What prevents it: only whole events with the next number are forwarded, and a resumption goes on only with a signed success. One fault came out: a success without any event, with an end of its own, completed the stream.

Change: a resumed part must have an event. Ruled out: the same for first parts, whose empty body is the worker's whole answer. Evidence: stream_does_not_end_with_a_resumption_without_events failed before ("the stream seems complete") and passes; errors_of_the_next_worker_do_not_reach_a_stream passed before, too. A stream that has lost only its end is cut now, where it was completed.

--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -59,6 +59,8 @@
     ExtraResponse,
     /// Responses carry no receipt.
     Unsigned,
+    /// Requests for a stream get a plain response.
+    PlainResponse,
     /// Requests run and get a response with status 500.
     Error,
     /// Requests are rejected with status 503, and the body of the response never ends.
@@ -390,7 +392,7 @@
     if fault == Fault::UnnamedRejection {
         stream.write_all(rejection(UNAVAILABLE, "").as_bytes()).await?;
     }
-    let streamed = run.headers.contains_key("x-token-usage");
+    let streamed = run.headers.contains_key("x-token-usage") && fault != Fault::PlainResponse;
     let after = run.headers.get("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
     let index = {
         let mut state = state.lock();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -63,6 +63,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the body has an end of its own; otherwise it ends with the connection.
     framed: bool,
+    /// Whether it continues what another endpoint began.
+    resumed: bool,
 }
 
 impl Segment {
@@ -72,12 +74,21 @@
         let exchange::Response { slot, connection, head, parts, body } = response;
         let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
         let framed = framing.iter().any(|name| parts.headers.contains_key(name));
-        Self { slot, connection, body, keep_alive: head.keep_alive, framed }
+        Self { slot, connection, body, keep_alive: head.keep_alive, framed, resumed: false }
     }
 
-    /// Whether the end of the body may be that of an endpoint that broke off before any event.
+    /// Continues what another endpoint began.
+    #[must_use]
+    pub fn resumed(mut self) -> Self {
+        self.resumed = true;
+        self
+    }
+
+    /// Whether the end of the body does not show that the stream is complete. An endpoint that breaks
+    /// off before any event leaves the same bytes as an empty body without framing, and one that
+    /// continues a stream has at least one event to add.
     fn ended_empty(&self) -> bool {
-        !self.framed && !self.slot.has_response()
+        (self.resumed || !self.framed) && !self.slot.has_response()
     }
 }
 
@@ -433,7 +444,7 @@
         let sent = exchange::send(&board, &accepted, slot, last).await;
         let failure = match sent {
             Ok(received) if received.parts.status.is_success() => {
-                return Ok((Segment::new(received), history));
+                return Ok((Segment::new(received).resumed(), history));
             }
             Ok(received) => {
                 let status = received.parts.status;
