--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -55,6 +55,8 @@
     DropResponse,
     /// Streams end in the middle of the event after this number.
     TruncateAfter(u64),
+    /// Streams send nothing more after this number of events, and stay open.
+    SilentAfter(u64),
     /// Each plain response is sent twice.
     ExtraResponse,
     /// Responses carry no receipt.
@@ -489,6 +491,10 @@
     for number in after + 1..=count {
         tokio::time::sleep(pause).await;
         let event = format!("id: {number}\ndata: token {number}\n\n");
+        if matches!(fault, Fault::SilentAfter(last) if number > last) {
+            // Ends when the caller disconnects.
+            stream.read_u8().await?;
+        }
         if matches!(fault, Fault::TruncateAfter(last) if number > last) {
             let half = &event[..event.len() / 2];
             stream.write_all(frame(half).as_bytes()).await?;
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -47,6 +47,8 @@
     pub arrived: Time,
     /// Time at which the caller or the route gives up.
     pub deadline: Time,
+    /// Time for which the caller waits for the next event of a stream.
+    pub patience: Duration,
     /// Parameters for the dispatcher.
     pub submission: Submission,
     /// What the request is recognised by if endpoints crash under it: itself, and the parts of its
@@ -120,6 +122,7 @@
         organisation,
         arrived,
         deadline,
+        patience: silence_timeout(&route),
         submission,
         method: parts.method,
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,12 +5,16 @@
 //! of the caller's last event, and the same response continues; a partially
 //! received event is dropped. Otherwise the response ends with an error, never
 //! as complete.
+//!
+//! A silent endpoint may be sound: when its memory runs out, it preempts streams
+//! and reads them again. A silent stream is moved only once another endpoint has
+//! room for it; until then it stays where it is.
 
 use crate::{
     admission,
     blackboard::Blackboard,
     configuration::Kind,
-    dispatcher::{self, Slot},
+    dispatcher::{self, Slot, Submission},
     events::Decoder,
     exchange,
     history::{Failure, History},
@@ -37,13 +41,13 @@
     task::spawn_local,
     time::{Instant, Sleep},
 };
-use units::Time;
-
-/// Silence after which a resumable stream is moved to another endpoint; callers give up after 2 s.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
+use units::{EndpointId, Time};
 
-/// Time to find another endpoint for an interrupted stream, within the callers' 2 s.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Silence after which another endpoint is sought for a resumable stream, as a fraction of the time
+/// for which its caller waits.
+const SILENCE_FRACTION: f64 = 0.65;
+/// Time to find another endpoint for an interrupted stream, as a fraction of the same time.
+const RESUME_FRACTION: f64 = 0.6;
 
 /// Error for a stream that ended before it was complete.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -92,6 +96,15 @@
     }
 }
 
+/// Search for a slot at another endpoint.
+struct Search(Pin<Box<dyn Future<Output = Option<Slot>>>>);
+
+impl fmt::Debug for Search {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Search")
+    }
+}
+
 type Resuming = Pin<Box<dyn Future<Output = Result<(Segment, History), Box<str>>>>>;
 
 enum State {
@@ -115,6 +128,8 @@
     Complete,
     Broken(Box<str>),
     Silent,
+    /// The stream is being moved to another endpoint.
+    Moved,
     TimedOut,
 }
 
@@ -132,8 +147,11 @@
     first_event: Option<Time>,
     event_count: u64,
     longest_gap: Duration,
-    /// Whether to ignore silence because no other endpoint may be tried.
+    /// Whether to ignore silence until the next event, because another endpoint is being sought or
+    /// was not found.
     ignore_silence: bool,
+    /// Search for another endpoint while this one is silent.
+    search: Option<Search>,
     /// Whether the request has been recorded as one that does not crash endpoints.
     survived: bool,
 }
@@ -155,6 +173,7 @@
             event_count: 0,
             longest_gap: Duration::ZERO,
             ignore_silence: false,
+            search: None,
             survived: false,
             timer,
             board,
@@ -177,7 +196,7 @@
             Ok(bytes) => self.pending = Some(bytes),
             Err(End::Complete) => self.complete(),
             Err(End::TimedOut) => return Err(Failure::TimedOut),
-            Err(End::Silent) => return Err(Failure::Lost("silent".into())),
+            Err(End::Silent | End::Moved) => return Err(Failure::Lost("silent".into())),
             Err(End::Broken(cause)) => {
                 if let Some(site) = self.fail_segment() {
                     quarantine::record_if_crashed(&self.board, &self.accepted, site).await;
@@ -211,7 +230,7 @@
         loop {
             let end = match &mut self.state {
                 State::Ended => return Poll::Ready(None),
-                State::Reading(_) => match ready!(self.poll_segment(context)) {
+                State::Reading(_) => match ready!(self.poll_reading(context)) {
                     Ok(bytes) => return Poll::Ready(Some(Ok(bytes))),
                     Err(end) => end,
                 },
@@ -233,12 +252,30 @@
                 End::TimedOut => {
                     return Poll::Ready(Some(Err(self.interrupt("deadline".into()))));
                 }
-                End::Silent => self.handle_silence()?,
+                End::Silent => self.handle_silence(),
+                End::Moved => {}
                 End::Broken(cause) => self.resume(cause)?,
             }
         }
     }
 
+    /// Reads from the current endpoint, and seeks another one while it is silent.
+    fn poll_reading(&mut self, context: &mut Context<'_>) -> Poll<Result<Bytes, End>> {
+        let polled = self.poll_segment(context);
+        if polled.is_ready() {
+            if matches!(polled, Poll::Ready(Ok(_))) {
+                self.search = None;
+                self.ignore_silence = false;
+            }
+            return polled;
+        }
+        let Some(search) = &mut self.search else { return Poll::Pending };
+        let found = ready!(search.0.as_mut().poll(context));
+        self.search = None;
+        let moved = found.is_some_and(|slot| self.move_to(slot));
+        if moved { Poll::Ready(Err(End::Moved)) } else { Poll::Pending }
+    }
+
     /// Reads from the current endpoint until at least one event is complete.
     fn poll_segment(&mut self, context: &mut Context<'_>) -> Poll<Result<Bytes, End>> {
         loop {
@@ -291,7 +328,7 @@
             let resumable = self.accepted.route.kind == Kind::ResumableStream;
             let mut until = self.accepted.deadline;
             if resumable && self.first_event.is_some() && !self.ignore_silence {
-                let silent_at = self.last_event + SILENCE_TIMEOUT;
+                let silent_at = self.last_event + self.accepted.patience.mul_f64(SILENCE_FRACTION);
                 if now >= silent_at {
                     return Poll::Ready(End::Silent);
                 }
@@ -360,20 +397,66 @@
         Interrupted(cause)
     }
 
-    /// Moves a silent stream to another endpoint if the route's number of attempts and the retry
-    /// budget allow it. Otherwise keeps waiting, because silence alone does not end a response. A
-    /// move that finds no endpoint does end it.
-    fn handle_silence(&mut self) -> Result<(), Interrupted> {
+    /// Seeks another endpoint for a silent stream if the route's number of attempts and the retry
+    /// budget allow it. Silence alone does not end a response.
+    fn handle_silence(&mut self) {
+        self.ignore_silence = true;
+        let State::Reading(segment) = &self.state else { return };
         let has_retry = self.board.has_retry(&self.accepted.submission.service);
-        if has_retry && self.history.may_run_again(&self.accepted) {
-            return self.resume("silent".into());
+        if !has_retry || !self.history.may_run_again(&self.accepted) {
+            return;
         }
-        self.ignore_silence = true;
-        Ok(())
+        let current = segment.slot.endpoint().clone();
+        info!(self.board.log, "stream silent"; Event::Resumed,
+            "request" => &*self.accepted.head.attempt, "endpoint" => %current,
+            "after" => self.decoder.last());
+        let (board, accepted) = (Rc::clone(&self.board), Rc::clone(&self.accepted));
+        let mut avoid = self.history.tried.clone();
+        avoid.push(current);
+        self.search = Some(Search(Box::pin(async move {
+            let submission = resuming_submission(&board, &accepted);
+            dispatcher::acquire_slot(&board, &submission, &avoid).await.ok()
+        })));
+    }
+
+    /// Moves a silent stream to another endpoint; false if it stays.
+    fn move_to(&mut self, slot: Slot) -> bool {
+        let State::Reading(segment) = &self.state else { return false };
+        let current = segment.slot.endpoint().clone();
+        if *slot.endpoint() == current {
+            return false;
+        }
+        let silent = Failure::Lost("silent".into());
+        let recorded = self.history.record_failure(&self.board, &self.accepted, &current, &silent);
+        if recorded.is_err() {
+            return false;
+        }
+        if let State::Reading(segment) = std::mem::replace(&mut self.state, State::Ended) {
+            segment.slot.release(Outcome::Failed);
+        }
+        self.resume_from(&current, Some(slot));
+        true
+    }
+
+    /// Continues after the last event at another endpoint, that of `slot` if there is one.
+    fn resume_from(&mut self, endpoint: &EndpointId, slot: Option<Slot>) {
+        self.decoder.discard_partial();
+        info!(self.board.log, "resuming"; Event::Resumed,
+            "request" => &*self.accepted.head.attempt, "from" => %endpoint,
+            "after" => self.decoder.last());
+        let segment = next_segment(
+            Rc::clone(&self.board),
+            Rc::clone(&self.accepted),
+            std::mem::take(&mut self.history),
+            self.decoder.last(),
+            slot,
+        );
+        self.state = State::Resuming(Box::pin(segment));
     }
 
     /// Resumes at another endpoint, or ends the response with an error.
     fn resume(&mut self, cause: Box<str>) -> Result<(), Interrupted> {
+        self.search = None;
         let State::Reading(segment) = std::mem::replace(&mut self.state, State::Ended) else {
             return Err(self.interrupt(cause));
         };
@@ -397,17 +480,7 @@
         if let Err(refused) = recorded {
             return Err(self.interrupt(refused.cause));
         }
-        self.decoder.discard_partial();
-        info!(self.board.log, "resuming"; Event::Resumed,
-            "request" => &*self.accepted.head.attempt, "from" => %endpoint,
-            "after" => self.decoder.last());
-        let segment = next_segment(
-            Rc::clone(&self.board),
-            Rc::clone(&self.accepted),
-            std::mem::take(&mut self.history),
-            self.decoder.last(),
-        );
-        self.state = State::Resuming(Box::pin(segment));
+        self.resume_from(&endpoint, None);
         Ok(())
     }
 }
@@ -422,10 +495,11 @@
     }
 }
 
-/// Dispatch deadlines for resuming a stream, whose caller has been waiting since the last event.
-fn resume_deadlines(accepted: &admission::Request, now: Time) -> Deadlines {
-    let deadline = (now + RESUME_TIMEOUT).min(accepted.deadline);
-    Deadlines { soft: deadline, hard: deadline }
+/// Submission for resuming a stream, whose caller has been waiting since the last event.
+fn resuming_submission(board: &Blackboard, accepted: &admission::Request) -> Submission {
+    let timeout = accepted.patience.mul_f64(RESUME_FRACTION);
+    let deadline = (board.now() + timeout).min(accepted.deadline);
+    accepted.submission.clone().with_deadlines(Deadlines { soft: deadline, hard: deadline })
 }
 
 async fn next_segment(
@@ -433,12 +507,16 @@
     accepted: Rc<admission::Request>,
     mut history: History,
     last: Option<u64>,
+    mut first: Option<Slot>,
 ) -> Result<(Segment, History), Box<str>> {
-    let submission =
-        accepted.submission.clone().with_deadlines(resume_deadlines(&accepted, board.now()));
+    let submission = resuming_submission(&board, &accepted);
     loop {
-        let slot = dispatcher::acquire_slot(&board, &submission, &history.tried).await;
-        let slot = slot.map_err(|refusal| refusal.code.to_string())?;
+        let slot = match first.take() {
+            Some(slot) => slot,
+            None => dispatcher::acquire_slot(&board, &submission, &history.tried)
+                .await
+                .map_err(|refusal| refusal.code.to_string())?,
+        };
         quarantine::check_attempt(&board, &accepted).map_err(|refused| refused.cause)?;
         let endpoint = slot.endpoint().clone();
         let sent = exchange::send(&board, &accepted, slot, last).await;
