Fleet: endpoints say that they leave, or want no requests for a while

Callers saw nothing yet; no code read these headers.

Change: an endpoint that says to leave gets nothing more, until its entry is ready again or another process starts; one that turns a request away with a time gets nothing of this node until it is over, 300 s at most. Both are logged. A shorter backoff does not end that time.

--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -121,6 +121,8 @@
     unframed: bool,
     /// Load that responses state.
     load: Box<str>,
+    /// Further header lines of all responses.
+    headers: Box<str>,
     /// Limit that responses name, in requests per second.
     limit: Option<Box<str>>,
     stop: watch::Sender<bool>,
@@ -130,7 +132,7 @@
     /// Records a rejection and returns it.
     fn reject(&mut self, attempt: &str) -> String {
         self.rejections.push(Rejection { attempt: attempt.to_owned(), at: Instant::now() });
-        rejection(UNAVAILABLE, &format!("X-Attempt-Id: {attempt}\r\n"))
+        rejection(UNAVAILABLE, &format!("X-Attempt-Id: {attempt}\r\n{}", self.headers))
     }
 
     fn crashes_under(&self, run: &Run) -> bool {
@@ -171,6 +173,7 @@
             deadly_part: None,
             unframed: false,
             load: "1,0,4,100".into(),
+            headers: Box::default(),
             limit: None,
             stop,
         }));
@@ -239,6 +242,11 @@
         self.state.lock().limit = Some(limit.into());
     }
 
+    /// Adds a header to all responses, in place of the last one that was added.
+    pub fn set_header(&self, name: &str, value: &str) {
+        self.state.lock().headers = format!("{name}: {value}\r\n").into();
+    }
+
     /// Sets the load that responses state, which need not be valid.
     pub fn set_load(&self, load: &str) {
         self.state.lock().load = load.into();
@@ -424,7 +432,8 @@
     let (load, limit) = {
         let state = state.lock();
         let limit = state.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
-        (format!("X-Server-Load: {}\r\n", state.load), limit.unwrap_or_default())
+        let load = format!("X-Server-Load: {}\r\n{}", state.load, state.headers);
+        (load, limit.unwrap_or_default())
     };
     let head = format!("HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\n{load}{limit}{signature}");
     match fault {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -29,7 +29,7 @@
 use sched::{fleet::Outcome, quota::Quota};
 use slog::info;
 use std::{cell::Cell, convert::Infallible, panic::AssertUnwindSafe, rc::Rc, time::Duration};
-use units::Tokens;
+use units::{EndpointId, Tokens};
 
 /// Largest buffered response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -266,6 +266,7 @@
     if is_from_endpoint(&checked) {
         slot.record_load(head.load);
         limits::record_response(board, slot.endpoint(), head.limit);
+        record_intent(board, slot.endpoint(), parts.status, &head);
     }
     if let Err(failure) = checked {
         slot.release(match failure {
@@ -282,6 +283,28 @@
     Ok(Response { slot, connection, head, parts, body })
 }
 
+/// Records what a response says of further requests to its endpoint.
+fn record_intent(
+    board: &Blackboard,
+    endpoint: &EndpointId,
+    status: StatusCode,
+    head: &response::Head,
+) {
+    let mut fleet = board.fleet.borrow_mut();
+    if head.leaving && fleet.record_leaving(endpoint) {
+        info!(board.log, "endpoint leaving"; Event::EndpointLeaving, "endpoint" => %endpoint,
+            "reason" => "its response says so");
+    }
+    if let Some(wait) = head.retry_after
+        && status == StatusCode::SERVICE_UNAVAILABLE
+    {
+        fleet.record_refusal(endpoint, wait, board.now());
+        board.metrics.count("limit", "refusal");
+        info!(board.log, "endpoint refuses requests"; Event::EndpointLimit, "endpoint" => %endpoint,
+            "retry_after_ms" => millis(wait));
+    }
+}
+
 /// Reads a body that is not forwarded; true if it ended.
 async fn discard(body: Incoming) -> bool {
     let reading = Limited::new(body, MAX_DISCARDED_BYTES).collect();
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -29,6 +29,10 @@
     pub load: Option<Load>,
     /// Requests that the endpoint takes from all nodes together.
     pub limit: Limit,
+    /// Whether the endpoint says that it is leaving.
+    pub leaving: bool,
+    /// Time for which an endpoint that turns a request away wants none of this node.
+    pub retry_after: Option<Duration>,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -133,6 +133,25 @@
         self.usage_ttl = ttl.max(USAGE_TTL);
     }
 
+    /// Whether an endpoint may get requests of this node, as far as this node knows: it is listed, does
+    /// not leave, and has not asked for none.
+    #[must_use]
+    pub fn accepts(&self, id: &EndpointId, now: Time) -> bool {
+        self.endpoints.get(id).is_some_and(|e| !e.is_leaving() && !e.is_refusing(now))
+    }
+
+    /// Records that a response says that its endpoint is leaving; true if that is new.
+    pub fn record_leaving(&mut self, id: &EndpointId) -> bool {
+        self.endpoints.get_mut(id).is_some_and(Endpoint::record_leaving)
+    }
+
+    /// Records that an endpoint wants no requests of this node for a while.
+    pub fn record_refusal(&mut self, id: &EndpointId, wait: Duration, now: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.record_refusal(wait, now);
+        }
+    }
+
     /// Adds or updates a listing; true if it changes.
     pub fn upsert(&mut self, listing: Listing, distance: Distance, now: Time) -> bool {
         let changed = self.update(listing.clone(), distance);
@@ -167,7 +186,7 @@
             *known = Endpoint::new(listing, distance);
             known.own = own;
         } else {
-            known.listing = listing;
+            known.relist(listing);
         }
         true
     }
@@ -218,7 +237,7 @@
     /// Whether the service has an endpoint that is not leaving.
     #[must_use]
     pub fn has_endpoint_for(&self, service: &ServiceId) -> bool {
-        self.endpoints.values().any(|e| e.listing.service == *service && !e.listing.leaving)
+        self.endpoints.values().any(|e| e.listing.service == *service && !e.is_leaving())
     }
 
     /// Free and total slots of a service.
@@ -226,7 +245,7 @@
     pub fn capacity(&self, service: &ServiceId, now: Time) -> Capacity {
         let mut capacity = Capacity::default();
         for endpoint in self.endpoints.values() {
-            if endpoint.listing.service != *service || endpoint.listing.leaving {
+            if endpoint.listing.service != *service || endpoint.is_leaving() {
                 continue;
             }
             let in_flight = endpoint.load(self.usage_ttl, now).in_flight;
@@ -269,7 +288,7 @@
     fn has_capacity(&self, endpoint: &Endpoint, query: &Query<'_>, now: Time) -> bool {
         let listing = &endpoint.listing;
         if listing.service != *query.service
-            || listing.leaving
+            || endpoint.is_leaving()
             || endpoint.is_backing_off(now)
             || !endpoint.is_within_limit(now)
         {
@@ -488,7 +507,7 @@
         for endpoint in self.endpoints.values() {
             let slots = self.service_slots.entry(endpoint.listing.service.clone()).or_default();
             slots.own += endpoint.own.in_flight;
-            if !endpoint.listing.leaving {
+            if !endpoint.is_leaving() {
                 let taken = endpoint.load(self.usage_ttl, now).in_flight;
                 slots.slots += endpoint.slots();
                 slots.free += endpoint.slots().saturating_sub(taken);
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -33,6 +33,8 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(250);
 /// Longest backoff; an endpoint is back a few seconds after a crash.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Longest time for which an endpoint may ask for no requests.
+const MAX_REFUSAL: Duration = Duration::from_secs(300);
 /// Backoff after another endpoint responded at the address; meanwhile the listing expires or
 /// changes.
 const WRONG_ENDPOINT_BACKOFF: Duration = Duration::from_secs(3);
@@ -60,6 +62,10 @@
     failures: f64,
     failed_at: Time,
     backoff_until: Time,
+    /// Time until which it wants no requests of this node.
+    refuses_until: Time,
+    /// Whether a response of its process has said that it is leaving.
+    says_leaving: bool,
     next_backoff: Duration,
     /// This node's share of its limit, if it names one.
     pub(super) bucket: Option<Bucket>,
@@ -85,6 +91,8 @@
             failures: 0.0,
             failed_at: Time::ZERO,
             backoff_until: Time::ZERO,
+            refuses_until: Time::ZERO,
+            says_leaving: false,
             next_backoff: MIN_BACKOFF,
             bucket: None,
             limit_at: None,
@@ -138,7 +146,33 @@
 
     /// Whether it gets no requests now, after it failed to accept one.
     pub(super) fn is_backing_off(&self, now: Time) -> bool {
-        now < self.backoff_until
+        now < self.backoff_until || self.is_refusing(now)
+    }
+
+    /// Whether it has asked for no requests of this node for a time that is not over.
+    pub(super) fn is_refusing(&self, now: Time) -> bool {
+        now < self.refuses_until
+    }
+
+    /// Records that it wants no requests of this node for a while.
+    pub(super) fn record_refusal(&mut self, wait: Duration, now: Time) {
+        self.refuses_until = self.refuses_until.max(now + wait.min(MAX_REFUSAL));
+    }
+
+    /// Whether it is leaving, by its entry or by its own word.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.listing.leaving || self.says_leaving
+    }
+
+    /// Records that a response says that it is leaving; true if that is new.
+    pub(super) fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.says_leaving, true)
+    }
+
+    /// Takes over a changed entry of the same process. One that is ready again does not leave.
+    pub(super) fn relist(&mut self, listing: Listing) {
+        self.says_leaving &= listing.leaving || !self.listing.leaving;
+        self.listing = listing;
     }
 
     /// Whether its streams stay within a target gap during `prefill_ms` of prefill.
