Holder: a permit for an endpoint that leaves is returned

Cause: a holder looked up the address of a granted endpoint, and not whether it knows that the endpoint leaves.

Change: it returns such a permit, also for an endpoint that wants no requests of this node, and asks again, three times at most.

--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -77,6 +77,8 @@
     CellReleased = 311;
     /// A cell's owner does not respond; requests were registered with the next owner.
     OwnerSilent = 312;
+    /// A permit was returned, since its endpoint leaves or refuses requests; another one is asked for.
+    PermitReturned = 313;
     /// A member joined.
     MemberJoined = 400;
     /// A member is suspected.
--- a/crates/relay/src/holder.rs
+++ b/crates/relay/src/holder.rs
@@ -11,6 +11,10 @@
 //! [`crate::owner`]: each request uses the first permit that it gets and returns
 //! any other. A node that finds no owner decides by itself, see
 //! [`crate::dispatcher`].
+//!
+//! An owner that is cut off from the store may grant an endpoint that its holder
+//! knows as leaving. The holder returns such a permit and asks again; the owner
+//! then leaves the endpoint alone for a while.
 
 use crate::{
     blackboard::{Blackboard, Phase},
@@ -40,6 +44,8 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum number of owners asked for one permit.
 const MAX_OWNERS: u32 = 3;
+/// Number of permits that a request may return because their endpoints accept nothing.
+const MAX_RETURNED: u32 = 3;
 /// Time past its latest dispatch for which a request waits for the owner's refusal.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(100);
 /// Interval at which a node confirms the permits that it holds.
@@ -142,17 +148,40 @@
     submission: &Submission,
     avoid: &[EndpointId],
 ) -> Option<Result<Slot, Refusal>> {
+    for _ in 0..MAX_RETURNED {
+        match ask(board, submission, avoid).await {
+            Answer::Slot(slot) => return Some(Ok(*slot)),
+            Answer::Refused(refusal) => return Some(Err(refusal)),
+            Answer::None => return None,
+            Answer::Returned => {}
+        }
+    }
+    None
+}
+
+/// Result of a request for a permit.
+enum Answer {
+    Slot(Box<Slot>),
+    Refused(Refusal),
+    /// No owner responds, or this node is the owner.
+    None,
+    /// The permit was returned.
+    Returned,
+}
+
+/// Asks the owners in line for one permit.
+async fn ask(board: &Rc<Blackboard>, submission: &Submission, avoid: &[EndpointId]) -> Answer {
     // A request may need several permits, one after the other; late messages about one must not be
     // taken for the next.
     let request = RequestId::random(&mut rand::rng());
     if board.phase() >= Phase::Refusing {
-        return Some(Err(Refusal::DRAINING));
+        return Answer::Refused(Refusal::DRAINING);
     }
     let (sender, mut responses) = mpsc::unbounded_channel();
     let mut guard = Guard { board, request, asked: Vec::new() };
     for _ in 0..MAX_OWNERS {
         let owner = board.roster.borrow().owner(&submission.service, board.now());
-        let Owner::Peer(id, address) = owner else { return None };
+        let Owner::Peer(id, address) = owner else { return Answer::None };
         board.permits.borrow_mut().pending.insert(request, sender.clone());
         guard.asked.push(address);
         let mut unanswered = 0;
@@ -168,20 +197,20 @@
                     is_queued = true;
                 }
                 Ok(Some(Response::Granted(owner, grant))) => {
-                    return take(board, submission, owner, grant).map(Ok);
+                    return take(board, submission, owner, grant);
                 }
                 Ok(Some(Response::Refused(refusal))) => {
                     if refusal != Refusal::DRAINING {
                         guard.finish();
                     }
-                    return Some(Err(refusal));
+                    return Answer::Refused(refusal);
                 }
                 Ok(Some(Response::Declined(owner))) if owner == address => break,
                 Ok(Some(Response::Declined(_))) => {}
-                Ok(None) => return None,
+                Ok(None) => return Answer::None,
                 Err(_) if board.now() > submission.deadlines.hard + REFUSAL_MARGIN => {
                     let wait = Duration::ZERO;
-                    return Some(Err(Refusal { code: Code::DeadlineUnmeetable, wait }));
+                    return Answer::Refused(Refusal { code: Code::DeadlineUnmeetable, wait });
                 }
                 Err(_) if is_queued => is_queued = false,
                 Err(_) => unanswered += 1,
@@ -193,7 +222,7 @@
         board.metrics.count("permit", if declined { "owner_declined" } else { "owner_silent" });
         board.roster.borrow_mut().suspect(&id, board.now());
     }
-    None
+    Answer::None
 }
 
 impl Guard<'_> {
@@ -203,13 +232,13 @@
     }
 }
 
-/// Takes a permit; none if its endpoint is not known here, so that this node decides by itself.
+/// Takes a permit. If its endpoint is not known here, this node decides by itself.
 fn take(
     board: &Rc<Blackboard>,
     submission: &Submission,
     owner: SocketAddr,
     grant: Grant,
-) -> Option<Slot> {
+) -> Answer {
     let Grant { request, endpoint, expected, in_flight } = grant;
     let mut permits = board.permits.borrow_mut();
     permits.pending.remove(&request);
@@ -218,13 +247,21 @@
         drop(permits);
         board.metrics.count("permit", "unknown_endpoint");
         end(board, owner, request, Outcome::Cancelled);
-        return None;
+        return Answer::None;
     };
+    if !board.fleet.borrow().accepts(&endpoint, board.now()) {
+        drop(permits);
+        board.metrics.count("permit", "returned");
+        info!(board.log, "permit returned"; Event::PermitReturned, "endpoint" => %endpoint,
+            "owner" => %owner, "reason" => "the endpoint leaves or refuses requests");
+        end(board, owner, request, Outcome::WrongEndpoint);
+        return Answer::Returned;
+    }
     let held = Held { endpoint: endpoint.clone(), size: submission.size, owner };
     permits.held.insert(request, held);
     drop(permits);
     let choice = Choice { endpoint, address, born, expected, in_flight, candidates: 1 };
-    Some(Slot::with_permit(board, submission, request, choice))
+    Answer::Slot(Box::new(Slot::with_permit(board, submission, request, choice)))
 }
 
 fn end(board: &Blackboard, owner: SocketAddr, request: RequestId, outcome: Outcome) {
--- a/crates/relay/tests/nodes/permits.rs
+++ b/crates/relay/tests/nodes/permits.rs
@@ -438,3 +438,32 @@
         assert!(!second.is_finished(), "the owner has not answered yet");
     });
 }
+
+/// An owner that was cut off from the store granted an endpoint that its holders knew as leaving,
+/// and they sent requests there.
+#[test]
+fn a_permit_for_an_endpoint_that_leaves_is_returned() {
+    run(async {
+        let owner = "127.0.0.1:9".parse().unwrap();
+        let node = Rc::new(Node::frozen("a", "h", 71, 10).await);
+        introduce(&node.board, "o", owner, "a", 50);
+        let leaving = Listing { leaving: true, slots: SLOTS, ..listing(0) };
+        relay::directory::upsert(&node.board, leaving, Version(100));
+        let waiting = {
+            let node = Rc::clone(&node);
+            spawn_local(async move { node.acquire(1).await })
+        };
+        for (endpoint, is_used) in [("e-0", false), ("e-1", true)] {
+            let grant = Grant {
+                request: asked_for(&node.board).await,
+                endpoint: EndpointId::new(endpoint).unwrap(),
+                expected: Duration::ZERO,
+                in_flight: 0,
+            };
+            holder::handle(&node.board, Message::Grant(grant), owner);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            assert_eq!(waiting.is_finished(), is_used, "{endpoint}");
+        }
+        assert_eq!(waiting.await.unwrap().unwrap().endpoint().as_str(), "e-1");
+    });
+}
