--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -282,7 +282,7 @@
             return false;
         }
         let configuration = self.configuration.borrow();
-        configuration.as_ref().is_some_and(|c| c.streamed().contains(service))
+        configuration.as_ref().is_some_and(|c| c.owned().contains(service))
             || self.limited_services.borrow().contains(service)
     }
 
@@ -295,12 +295,12 @@
                 || self.roster.borrow().owner(service, now) == Owner::This)
     }
 
-    /// Services whose slots owners give out in a large cluster: those with streams, and those with an
-    /// endpoint that limits its requests.
+    /// Services whose slots owners give out in a large cluster, by the configuration or since an
+    /// endpoint limits its requests.
     fn services_with_owners(&self) -> BTreeSet<ServiceId> {
         let configuration = self.configuration.borrow();
-        let streamed = configuration.iter().flat_map(|c| c.streamed()).cloned();
-        streamed.chain(self.limited_services.borrow().iter().cloned()).collect()
+        let owned = configuration.iter().flat_map(|c| c.owned()).cloned();
+        owned.chain(self.limited_services.borrow().iter().cloned()).collect()
     }
 
     /// Services whose slots this node gives out in its zone.
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -8,6 +8,10 @@
 };
 use units::{Bytes, OrganisationId, Rank, ServiceId, Time, Tokens, Version};
 
+/// Target latency above which the plain calls of a route count as long. A call usually takes up to a
+/// quarter of its target, and calls of up to 50 ms need no allocated slot, see [`sched::fleet`].
+const LONG_CALL_TARGET: Duration = Duration::from_millis(200);
+
 /// How often requests of a route may run, and how they are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -70,6 +74,12 @@
 }
 
 impl Route {
+    /// Whether requests hold their slot for so long that nodes cannot share the slots by digests: a
+    /// large cluster takes seconds to tell all nodes which slots are in use.
+    fn holds_slots(&self) -> bool {
+        self.kind.is_stream() || self.target_latency.is_some_and(|time| time > LONG_CALL_TARGET)
+    }
+
     /// Service for a request, chosen by weight; `draw` is uniform over all `u64` values.
     #[must_use]
     pub fn backend(&self, draw: u64) -> Option<&ServiceId> {
@@ -130,8 +140,8 @@
     organisations: HashMap<OrganisationId, Rc<Organisation>>,
     /// Number of connections that an endpoint of a service accepts from all nodes.
     connections: HashMap<ServiceId, u32>,
-    /// Services that respond with streams on some route.
-    streamed: BTreeSet<ServiceId>,
+    /// Services whose slots are given out by owners in a large cluster.
+    owned: BTreeSet<ServiceId>,
     /// Limits on callers' requests.
     pub limits: Limits,
 }
@@ -146,8 +156,8 @@
     /// Adds a route for a host.
     #[must_use]
     pub fn with_route(mut self, host: &str, route: Route) -> Self {
-        if route.kind.is_stream() {
-            self.streamed.extend(route.backends.iter().map(|backend| backend.service.clone()));
+        if route.holds_slots() {
+            self.owned.extend(route.backends.iter().map(|backend| backend.service.clone()));
         }
         let routes = self.routes.entry(host.to_ascii_lowercase().into()).or_default();
         let at = routes.partition_point(|known| known.prefix.len() >= route.prefix.len());
@@ -166,10 +176,11 @@
         self
     }
 
-    /// Services that respond with streams.
+    /// Services whose slots are given out by owners in a large cluster: those that respond with
+    /// streams, and those with long plain calls.
     #[must_use]
-    pub const fn streamed(&self) -> &BTreeSet<ServiceId> {
-        &self.streamed
+    pub const fn owned(&self) -> &BTreeSet<ServiceId> {
+        &self.owned
     }
 
     /// Sets the number of connections that an endpoint of a service accepts.
--- a/crates/relay/tests/nodes/permits.rs
+++ b/crates/relay/tests/nodes/permits.rs
@@ -46,13 +46,17 @@
 }
 
 fn configuration() -> Configuration {
+    configuration_of(Kind::Stream, None)
+}
+
+fn configuration_of(kind: Kind, target_latency: Option<Duration>) -> Configuration {
     let route = Route {
-        name: "stream".into(),
+        name: "route".into(),
         prefix: "/".into(),
         backends: Box::new([Backend { service: service(), weight: 1 }]),
-        kind: Kind::Stream,
+        kind,
         timeout: None,
-        target_latency: None,
+        target_latency,
         target_gap: None,
         max_attempts: 1,
         rank: Rank(1),
@@ -208,6 +212,31 @@
     });
 }
 
+/// A node of a large cluster refused long plain calls although most slots were free, since its share
+/// of the slots was known from digests that are seconds old.
+#[test]
+fn owner_gives_out_the_slots_of_long_plain_calls() {
+    run(async {
+        let (owner, holders) = zone(1, 96).await;
+        let target = |ms| Some(Duration::from_millis(ms));
+        for (target, granted) in [(target(300), 6), (target(150), 0)] {
+            for node in [&owner, &holders[0]] {
+                let configuration = configuration_of(Kind::Once, target);
+                *node.board.configuration.borrow_mut() = Some(Rc::new(configuration));
+            }
+            let mut slots = Vec::new();
+            for number in 0..6 {
+                let plain = Submission { streamed: false, ..submission(&holders[0].board, number) };
+                let slot = dispatcher::acquire_slot(&holders[0].board, &plain, &[]);
+                slots.push(timeout(SOON, slot).await.unwrap().unwrap());
+            }
+            assert_eq!(owner.board.cells.borrow().issued(), granted, "target {target:?}");
+            drop(slots);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
 /// The owner is frozen: the next node in line acts in its place within a fifth of a second.
 #[test]
 fn frozen_owner_is_passed_over() {
