--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -249,7 +249,7 @@
                 continue;
             }
             let in_flight = endpoint.load(self.usage_ttl, now).in_flight;
-            let is_open = endpoint.is_within_limit(now);
+            let is_open = endpoint.is_within_limit(now) && !endpoint.is_failing_calls(now);
             let free = if is_open { endpoint.slots().saturating_sub(in_flight) } else { 0 };
             capacity.slots += endpoint.slots();
             capacity.free += free;
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -28,6 +28,8 @@
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Half-life of the failure rate, in seconds, so that a failed endpoint is tried again.
 const FAILURE_HALF_LIFE_S: f64 = 2.0;
+/// Failure rate from which an endpoint of plain calls counts as failing: five failures in a row.
+const MAX_FAILURE_RATE: f64 = 0.5;
 /// First backoff after an endpoint was unreachable, doubled each time; shorter than a connection's
 /// timeout.
 const MIN_BACKOFF: Duration = Duration::from_millis(250);
@@ -149,6 +151,13 @@
         now < self.backoff_until || self.is_refusing(now)
     }
 
+    /// Whether an endpoint of plain calls fails most of them or accepts none. A zone may have no other
+    /// one, so that its calls must go to another zone. Endpoints with streams are many.
+    pub(super) fn is_failing_calls(&self, now: Time) -> bool {
+        self.gap_ms.is_none()
+            && (self.is_backing_off(now) || self.failure_rate(now) >= MAX_FAILURE_RATE)
+    }
+
     /// Whether it has asked for no requests of this node for a time that is not over.
     pub(super) fn is_refusing(&self, now: Time) -> bool {
         now < self.refuses_until
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -386,3 +386,20 @@
     fleet.start(&id(0), Size { prompt: Tokens(u64::MAX), output: Tokens(u64::MAX) });
     allocate_all(&mut fleet);
 }
+
+/// The owner of a zone kept using its one endpoint of plain calls while that failed them, although
+/// other zones had room: its slots counted as free.
+#[test]
+fn slots_of_an_endpoint_that_fails_its_calls_are_not_free() {
+    for outcome in [Outcome::Unreachable, Outcome::Failed] {
+        let mut fleet = fleet(1);
+        allocate_all(&mut fleet);
+        assert_eq!(fleet.capacity(&service(), Time::ZERO).free, SLOTS);
+        for _ in 0..5 {
+            fleet.record_outcome(&id(0), outcome, Time::ZERO);
+        }
+        assert_eq!(fleet.capacity(&service(), Time::ZERO).free, 0, "{outcome:?}");
+        let later = Time::ZERO + Duration::from_secs(3);
+        assert_eq!(fleet.capacity(&service(), later).free, SLOTS, "it is tried again");
+    }
+}
