--- a/crates/relay/src/owner.rs
+++ b/crates/relay/src/owner.rs
@@ -177,17 +177,20 @@
         return decline(board, id, holder, request.holder.is_some());
     }
     let was_acting = board.is_owner(&request.service);
-    board.cells.borrow_mut().acting.insert(request.service.clone(), now);
-    if !was_acting {
+    let is_forwarded = request.holder.is_some();
+    // Requests that other owners forward do not keep a node acting: it would go on to report free
+    // slots, beside the owner that has returned, and attract more of them.
+    if !is_forwarded {
+        board.cells.borrow_mut().acting.insert(request.service.clone(), now);
+    }
+    if !was_acting && !is_forwarded {
         info!(board.log, "acting as owner"; Event::CellTaken, "service" => %request.service);
         crate::peers::reallocate(board);
         // Other owners of the cell share limits with this node as soon as they know of it.
         board.broadcast_now.notify_one();
     }
     // A forwarded request is not forwarded again.
-    if request.holder.is_none()
-        && let Some(neighbour) = choose_neighbour(board, &request.service, now)
-    {
+    if !is_forwarded && let Some(neighbour) = choose_neighbour(board, &request.service, now) {
         board.metrics.count("permit", "forwarded");
         let forwarded = Request { holder: Some(holder), ..request };
         return board.send_message(neighbour, Message::Request(Box::new(forwarded)));
--- a/crates/relay/tests/nodes/permits.rs
+++ b/crates/relay/tests/nodes/permits.rs
@@ -7,7 +7,7 @@
     configuration::{Backend, Kind, Limits, Organisation, Route},
     dispatcher::{self, Slot, Submission},
     holder, owner, peers,
-    permit::{Grant, Message},
+    permit::{self, Grant, Message},
 };
 use sched::{
     backlog::Deadlines,
@@ -496,3 +496,40 @@
         assert_eq!(waiting.await.unwrap().unwrap().endpoint().as_str(), "e-1");
     });
 }
+
+/// A node acts as owner while the preferred one is away. When that is back, requests that owners of
+/// other zones forwarded kept both acting, and endpoints got twice the requests that they have slots.
+#[test]
+fn forwarded_requests_do_not_keep_a_second_owner() {
+    run(async {
+        let (preferred, nodes) = zone(1, 46).await;
+        let stand_in = &nodes[0];
+        let caller = "127.0.0.1:9".parse().unwrap();
+        let request = |number: u64, holder| {
+            let id = RequestId::new(u128::from(number));
+            Message::Request(Box::new(permit::Request {
+                request: id,
+                holder,
+                service: service(),
+                rank: Rank(1),
+                organisation: organisation(),
+                size: Size { prompt: Tokens(10), output: Tokens(10) },
+                max_output: Tokens(10),
+                target_gap: None,
+                soft: Duration::from_secs(20),
+                hard: Duration::from_secs(20),
+                fingerprint: Fingerprint(number),
+                cost: Tokens(0),
+                avoid: Box::default(),
+            }))
+        };
+        owner::handle(&stand_in.board, request(1, None), caller);
+        assert!(stand_in.board.is_owner(&service()), "its zone's holders ask it");
+        for number in 2..16 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            owner::handle(&stand_in.board, request(number, Some(caller)), caller);
+        }
+        assert!(!stand_in.board.is_owner(&service()), "only another zone's owner asks it");
+        drop(preferred);
+    });
+}
