--- a/crates/guild/src/lib.rs
+++ b/crates/guild/src/lib.rs
@@ -7,6 +7,7 @@
 //! message that arrives late never reverts the configuration.
 
 mod digest;
+pub mod neutral;
 mod publication;
 pub mod service;
 
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -43,7 +43,7 @@
 const MIN_CONNECTIONS: u32 = 2;
 
 /// Fraction of the process's memory that bodies may use, as a divisor.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+pub const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Time after a failed call of the store after which a node may replace a reader again.
 const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(3);
 
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -25,6 +25,14 @@
     pub window: Duration,
 }
 
+impl Bound {
+    /// Whether the bound ever allows a retry.
+    #[must_use]
+    pub fn has_retries(&self) -> bool {
+        self.ratio > 0.0 || MARGIN * self.burst >= 1.0
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
     start: Time,
--- a/src/output.rs
+++ b/src/output.rs
@@ -18,12 +18,21 @@
     pub code: Code,
     /// Cause, shown to the operator.
     pub detail: Box<str>,
+    /// Findings in detail, for JSON.
+    pub report: Option<Value>,
 }
 
 impl Failure {
     /// Failure with a result code.
     pub fn new(code: Code, detail: impl std::fmt::Display) -> Self {
-        Self { code, detail: detail.to_string().into() }
+        Self { code, detail: detail.to_string().into(), report: None }
+    }
+
+    /// Adds findings in detail.
+    #[must_use]
+    pub fn with_report(mut self, report: Value) -> Self {
+        self.report = Some(report);
+        self
     }
 }
 
@@ -52,12 +61,15 @@
     pub fn fail(self, failure: &Failure) -> ExitCode {
         let code = failure.code;
         if self.json {
-            let value = json!({
+            let mut value = json!({
                 "code": code.number(),
                 "title": code.title(),
                 "executed": code.executed(),
                 "detail": failure.detail,
             });
+            if let Some(report) = &failure.report {
+                value["report"] = report.clone();
+            }
             println!("{value}");
         } else {
             eprintln!("{code}: {}", failure.detail);
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -61,6 +61,37 @@
     assert_eq!(problem["code"], 5001);
 }
 
+/// Guards against service files that are valid one by one and contradict each other.
+#[test]
+fn check_reports_findings_and_differences() {
+    let folder = tempfile::TempDir::new().unwrap();
+    let write = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    };
+    let file = |name: &str, model: &str| {
+        format!(
+            "service = \"{name}\"\nkind = \"model\"\nmodel = \"{model}\"\ntiers = [\"a\"]\n\
+             checks_fencing = true\n"
+        )
+    };
+    let (one, two) = (write("1.toml", &file("one", "m")), write("2.toml", &file("two", "m")));
+    let old = write("old.toml", &file("one", "n"));
+    let (code, text) = run("bambooroad", &["check", &one, &two]);
+    assert_eq!(code, 2, "{text}");
+    assert!(text.contains("error: two: the model name m already selects one"), "{text}");
+    let (code, text) = run("bambooroad", &["--json", "check", &one, &two]);
+    let problem: serde_json::Value = serde_json::from_str(&text).unwrap();
+    let finding = &problem["report"]["findings"][0];
+    assert_eq!((code, &problem["code"], &finding["place"]), (2, &5001.into(), &"two".into()));
+    let (code, text) = run("bambooroad", &["check", "--in-force", &old, &one]);
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains(r#"service "one": model "n" -> "m""#), "{text}");
+    let names = std::fs::read_dir(folder.path()).unwrap().count();
+    assert_eq!((names, std::fs::read_to_string(&old).unwrap()), (3, file("one", "n")));
+}
+
 #[ntex::test]
 async fn an_unreachable_store_ends_with_one_and_publishes_nothing() {
     let cluster = Cluster::start_without_gateways(Topology::new(0)).unwrap();
