--- a/crates/fake-host/src/lib.rs
+++ b/crates/fake-host/src/lib.rs
@@ -4,9 +4,10 @@
 //! by side. Faults are injected at run time through the handles.
 //!
 //! * [`store`]: rows, change feed and transactions; outages, dropped responses,
-//!   lost history.
+//!   lost history; orders of rollouts and their status.
 //! * [`worker`]: plain and streamed responses with receipts; crashes, rejected
-//!   requests, and dropped, truncated, repeated or unsigned responses.
+//!   requests, and dropped, truncated, repeated or unsigned responses; versions
+//!   with defects.
 //! * [`node`]: a relay process with its settings file.
 //! * [`caller`]: requests, on a new or a kept connection.
 //! * [`testbed`]: a store, workers and a configuration, ready for nodes.
@@ -22,7 +23,7 @@
     node::Node,
     store::Store,
     testbed::Testbed,
-    worker::{Fault, Worker},
+    worker::{Defect, Fault, Worker},
 };
 
 use std::{
--- a/crates/fake-host/src/node.rs
+++ b/crates/fake-host/src/node.rs
@@ -55,11 +55,36 @@
     /// # Errors
     /// The program cannot be started.
     pub fn start(program: &Path, name: &str, zone: &str, store: SocketAddr) -> Result<Self> {
+        Self::start_with(program, name, zone, store, ["", ""])
+    }
+
+    /// Starts a process that carries out rollouts.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start_with_rollouts(
+        program: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+    ) -> Result<Self> {
+        let bounds = "canary_share = 0.1\ncanary_burst = 50\nrollback_ms = 5000\n";
+        Self::start_with(program, name, zone, store, ["guarantees = [\"rollout\"]\n", bounds])
+    }
+
+    /// Starts a process with further lines at the start of its settings and in their table of bounds.
+    fn start_with(
+        program: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        [first, bounds]: [&str; 2],
+    ) -> Result<Self> {
         let ip = crate::unused_address();
         let [callers, readiness, metrics, peers] = free_ports(ip)?;
         let directory = tempfile::tempdir()?;
         let settings = format!(
-            r#"node_name = "{name}"
+            r#"{first}node_name = "{name}"
 ip = "{ip}"
 zone = "{zone}"
 region = "r1"
@@ -80,7 +105,7 @@
 retry_window_s = 10
 retry_burst = 50
 grace_s = 8
-[platform]
+{bounds}[platform]
 address = "{store}"
 "#
         );
--- a/crates/fake-host/src/store.rs
+++ b/crates/fake-host/src/store.rs
@@ -20,6 +20,11 @@
 /// Interval at which a feed request polls for changes.
 const FEED_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time of the store's clock at its start.
+const CLOCK_START_MS: u64 = 70_000;
+/// Prefix of the keys of orders and of their status.
+const ROLLOUT_ROWS: &str = "rollout/";
+
 type Key = (String, String, String);
 
 #[derive(Debug, Clone)]
@@ -28,8 +33,21 @@
     version: u64,
 }
 
-#[derive(Debug, Default)]
+/// Change of a rollout's status.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Status {
+    /// Time at which the store held it.
+    pub at: Instant,
+    /// Service.
+    pub service: String,
+    /// Value of the row.
+    pub value: Value,
+}
+
+#[derive(Debug)]
 struct State {
+    started: Instant,
+    statuses: Vec<Status>,
     rows: BTreeMap<Key, Row>,
     version: u64,
     /// Changes up to this version are no longer in the feed's history.
@@ -41,6 +59,36 @@
     requests: u64,
 }
 
+impl State {
+    fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            statuses: Vec::new(),
+            rows: BTreeMap::new(),
+            version: 0,
+            history_start: 0,
+            down: false,
+            drop_responses: false,
+            delay: Duration::ZERO,
+            requests: 0,
+        }
+    }
+
+    /// Time of the store's steady clock.
+    fn timestamp(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX) + CLOCK_START_MS
+    }
+
+    fn record_status(&mut self, key: &Key, value: Option<&str>) {
+        let Some(service) = key.2.strip_prefix(ROLLOUT_ROWS).filter(|_| key.0 == "status") else {
+            return;
+        };
+        let bytes = value.and_then(|text| STANDARD.decode(text).ok()).unwrap_or_default();
+        let value = serde_json::from_slice(&bytes).unwrap_or_default();
+        self.statuses.push(Status { at: Instant::now(), service: service.to_owned(), value });
+    }
+}
+
 /// Handle of a running store.
 #[derive(Debug, Clone)]
 pub struct Store {
@@ -56,7 +104,8 @@
     /// No address can be bound.
     pub async fn start() -> Result<Self> {
         let listener = TcpListener::bind((crate::unused_address(), 0)).await?;
-        let store = Self { address: listener.local_addr()?, state: Arc::default() };
+        let state = Arc::new(Mutex::new(State::new()));
+        let store = Self { address: listener.local_addr()?, state };
         let state = Arc::clone(&store.state);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -99,6 +148,19 @@
         state.rows.insert(key, Row { value, version });
     }
 
+    /// Orders a rollout of a service, like the operator.
+    pub fn order(&self, service: &str, to: &str, duration_s: u64) {
+        let order = json!({"service": service, "to": to, "duration_s": duration_s});
+        self.put("op", &format!("{ROLLOUT_ROWS}{service}"), &order);
+    }
+
+    /// Status rows written for a service, oldest first.
+    #[must_use]
+    pub fn statuses(&self, service: &str) -> Vec<Status> {
+        let state = self.state.lock();
+        state.statuses.iter().filter(|status| status.service == service).cloned().collect()
+    }
+
     /// Refuses every request while `down`.
     pub fn set_down(&self, down: bool) {
         self.state.lock().down = down;
@@ -142,7 +204,7 @@
     }
     let (parts, body) = request.into_parts();
     let query = query(parts.uri.query().unwrap_or_default());
-    let (status, value) = match parts.uri.path() {
+    let (status, mut value) = match parts.uri.path() {
         "/rows-get" => (StatusCode::OK, page(&state.lock(), &query)),
         "/rows-feed" => feed(&state, &query).await,
         "/rows-tx" => {
@@ -151,7 +213,13 @@
         }
         _ => (StatusCode::NOT_FOUND, Value::Null),
     };
-    ensure!(!state.lock().drop_responses, "response dropped");
+    {
+        let state = state.lock();
+        ensure!(!state.drop_responses, "response dropped");
+        if let Some(fields) = value.as_object_mut() {
+            fields.insert("timestamp_ms".into(), state.timestamp().into());
+        }
+    }
     Ok(respond(status, &value))
 }
 
@@ -163,7 +231,9 @@
 
 fn query(text: &str) -> BTreeMap<String, String> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), value.replace("%00", "\0"))).collect()
+    pairs
+        .map(|(name, value)| (name.to_owned(), value.replace("%00", "\0").replace("%2F", "/")))
+        .collect()
 }
 
 fn field<'a>(query: &'a BTreeMap<String, String>, name: &str) -> &'a str {
@@ -185,7 +255,7 @@
         .map(|(key, row)| entry(key, row))
         .collect();
     json!({"has_more": found.len() > limit, "rows": found[..found.len().min(limit)],
-        "row_version": state.version, "timestamp_ms": 0})
+        "row_version": state.version})
 }
 
 async fn feed(state: &Mutex<State>, query: &BTreeMap<String, String>) -> (StatusCode, Value) {
@@ -235,6 +305,7 @@
     let version = state.version;
     for write in transaction["write"].as_array().into_iter().flatten() {
         let value = write["value"].as_str().map(str::to_owned);
+        state.record_status(&key(write), value.as_deref());
         state.rows.insert(key(write), Row { value, version });
     }
     for row in transaction["delete"].as_array().into_iter().flatten() {
--- a/crates/fake-host/src/testbed.rs
+++ b/crates/fake-host/src/testbed.rs
@@ -1,6 +1,6 @@
 //! A store, workers and the operator's configuration, ready for nodes.
 
-use crate::{Node, Request, Store, Worker};
+use crate::{Defect, Node, Request, Store, Worker};
 use anyhow::{Result, bail};
 use http::StatusCode;
 use serde_json::{Value, json};
@@ -115,6 +115,36 @@
         Ok(node)
     }
 
+    /// Starts a node that carries out rollouts and waits until it is ready.
+    ///
+    /// # Errors
+    /// The node does not start or does not become ready.
+    pub async fn start_rollout_node(&self, program: &Path, name: &str) -> Result<Node> {
+        let node = Node::start_with_rollouts(program, name, "z1", self.store.address)?;
+        wait_for_status(&node, StatusCode::OK).await?;
+        Ok(node)
+    }
+
+    /// Starts workers of a version and registers them as ready.
+    ///
+    /// # Errors
+    /// An address cannot be bound.
+    pub async fn add_version(
+        &mut self,
+        version: &str,
+        count: usize,
+        defect: Option<&Defect>,
+    ) -> Result<()> {
+        for number in 0..count {
+            let worker = Worker::start(&format!("{version}-{number}")).await?;
+            worker.set_version(version);
+            worker.set_defect(defect.cloned());
+            self.register(&worker, "ready");
+            self.workers.push(worker);
+        }
+        Ok(())
+    }
+
     /// Number of runs of an attempt, over all workers.
     #[must_use]
     pub fn run_count(&self, attempt: &str) -> usize {
--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -73,6 +73,70 @@
     BodyWithoutEnd,
 }
 
+/// Defect of a version: some of its responses are bad. All conditions must hold.
+#[derive(Debug, Clone, Default)]
+pub struct Defect {
+    /// One of this number of responses is bad, at random; all, if it is at most 1.
+    pub one_of: u32,
+    /// Time that a bad response takes in addition; it is a failure if there is none.
+    pub delay: Option<Duration>,
+    /// Number of requests that run before the first bad response.
+    pub after: usize,
+    /// Number of concurrent requests from which on responses are bad.
+    pub load: usize,
+    /// Start of the paths whose responses are bad.
+    pub path: String,
+}
+
+impl Defect {
+    /// Some responses are failures.
+    #[must_use]
+    pub fn failing(one_of: u32) -> Self {
+        Self { one_of, ..Self::default() }
+    }
+
+    /// Some responses take longer.
+    #[must_use]
+    pub fn slow(one_of: u32, delay: Duration) -> Self {
+        Self { one_of, delay: Some(delay), ..Self::default() }
+    }
+
+    /// Only on paths that start with this.
+    #[must_use]
+    pub fn on_path(self, path: &str) -> Self {
+        Self { path: path.to_owned(), ..self }
+    }
+
+    /// Only after a number of requests.
+    #[must_use]
+    pub fn after(self, requests: usize) -> Self {
+        Self { after: requests, ..self }
+    }
+
+    /// Only with at least this number of concurrent requests.
+    #[must_use]
+    pub fn under_load(self, requests: usize) -> Self {
+        Self { load: requests, ..self }
+    }
+
+    /// Whether the response to a request is bad; `number` tells how many ran before it.
+    fn applies(&self, run: &Run, number: usize, concurrent: usize) -> bool {
+        let path = run.request_line.split(' ').nth(1).unwrap_or_default();
+        path.starts_with(&self.path)
+            && number >= self.after
+            && concurrent >= self.load
+            && (self.one_of <= 1 || mix(number).is_multiple_of(u64::from(self.one_of)))
+    }
+}
+
+/// Spreads numbers evenly, the same in each run of a test.
+fn mix(number: usize) -> u64 {
+    let number = u64::try_from(number).unwrap_or_default().wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
+
 /// One run of a request.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -86,6 +150,10 @@
     pub body: Vec<u8>,
     /// Time the request was received.
     pub started_at: Instant,
+    /// Time the response was written or the connection lost.
+    pub ended_at: Option<Instant>,
+    /// Whether the response was bad by the version's [`Defect`].
+    pub bad: bool,
     /// Time a stream was found to have lost its connection.
     pub disconnected_at: Option<Instant>,
 }
@@ -125,6 +193,11 @@
     headers: Box<str>,
     /// Limit that responses name, in requests per second.
     limit: Option<Box<str>>,
+    /// Version of its software.
+    version: Box<str>,
+    defect: Option<Defect>,
+    /// Requests that run now.
+    running: usize,
     stop: watch::Sender<bool>,
 }
 
@@ -175,6 +248,9 @@
             load: "1,0,4,100".into(),
             headers: Box::default(),
             limit: None,
+            version: "v1".into(),
+            defect: None,
+            running: 0,
             stop,
         }));
         tokio::spawn(accept(listener, Arc::clone(&state), stopped));
@@ -191,7 +267,7 @@
     #[must_use]
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
         json!({"service": service, "address": self.address.to_string(), "zone": zone,
-            "version": "v1", "concurrency": 4, "state": state, "warmup_left_ms": 0, "seq": 1,
+            "version": &*self.state.lock().version, "concurrency": 4, "state": state, "warmup_left_ms": 0, "seq": 1,
             "born": 1_790_000_000_000_u64})
     }
 
@@ -200,6 +276,22 @@
         self.state.lock().fault = fault;
     }
 
+    /// Sets the version of its software.
+    pub fn set_version(&self, version: &str) {
+        self.state.lock().version = version.into();
+    }
+
+    /// Version of its software.
+    #[must_use]
+    pub fn version(&self) -> String {
+        self.state.lock().version.to_string()
+    }
+
+    /// Sets the defect of its version, or none.
+    pub fn set_defect(&self, defect: Option<Defect>) {
+        self.state.lock().defect = defect;
+    }
+
     /// Sets the length of streams and the pause between their events.
     pub fn set_stream(&self, events: u64, pause: Duration) {
         let mut state = self.state.lock();
@@ -349,6 +441,8 @@
         headers,
         body: Vec::new(),
         started_at: Instant::now(),
+        ended_at: None,
+        bad: false,
         disconnected_at: None,
     };
     Ok(Some((run, length)))
@@ -359,12 +453,33 @@
     format!("HTTP/1.1 {status}\r\n{headers}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
+/// Counts a request as running until it is dropped.
+struct Running<'a> {
+    state: &'a Mutex<State>,
+    index: usize,
+}
+
+impl<'a> Running<'a> {
+    fn new(state: &'a Mutex<State>, index: usize, locked: &mut State) -> Self {
+        locked.running += 1;
+        Self { state, index }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let mut state = self.state.lock();
+        state.running -= 1;
+        state.runs[self.index].ended_at = Some(Instant::now());
+    }
+}
+
 /// Runs one request and writes the response; false if the connection must be closed. `late` is the
 /// copy of an earlier response on the connection that is still to be sent.
 async fn respond(
     stream: &mut TcpStream,
     state: &Mutex<State>,
-    run: Run,
+    mut run: Run,
     late: &mut Option<String>,
 ) -> Result<bool> {
     let (id, fault) = {
@@ -404,18 +519,24 @@
     }
     let streamed = run.headers.contains_key("x-token-usage") && fault != Fault::PlainResponse;
     let after = run.headers.get("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
-    let index = {
-        let mut state = state.lock();
-        if state.crashes_under(&run) {
-            state.stop.send_replace(true);
+    let (running, bad_delay) = {
+        let mut locked = state.lock();
+        if locked.crashes_under(&run) {
+            locked.stop.send_replace(true);
         }
-        state.runs.push(run);
-        state.runs.len() - 1
+        let (number, concurrent) = (locked.runs.len(), locked.running + 1);
+        let defect = locked.defect.clone().filter(|d| d.applies(&run, number, concurrent));
+        run.bad = defect.is_some();
+        locked.runs.push(run);
+        (Running::new(state, number, &mut locked), defect.map(|defect| defect.delay))
     };
+    let index = running.index;
     if state.lock().stop.borrow().to_owned() {
         // The task is dropped here, without a response.
         std::future::pending::<()>().await;
     }
+    tokio::time::sleep(bad_delay.flatten().unwrap_or_default()).await;
+    let fault = if bad_delay == Some(None) { Fault::Error } else { fault };
     if fault == Fault::DropResponse {
         return Ok(false);
     }
