--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use sched::{
     Job,
     backlog::{Backlog, Deadlines},
-    fleet::{Choice, Fleet, Load, Outcome, Query, Size},
+    fleet::{Choice, Cohort, Fleet, Load, Outcome, Query, Size},
 };
 use std::{
     collections::HashMap,
@@ -558,7 +558,9 @@
         let (avoid, target_gap, size) = (&*waiter.avoid, waiter.target_gap, waiter.size);
         let streamed = waiter.streamed;
         let max_connections = connections;
-        fleet.select(&Query { service, size, avoid, max_connections, target_gap, streamed }, now)
+        let cohort = Cohort::Any;
+        let query = Query { service, size, avoid, max_connections, target_gap, streamed, cohort };
+        fleet.select(&query, now)
     })?;
     let waiter = dispatcher.waiters.remove(&job.request)?;
     let size = waiter.size;
--- a/crates/relay/tests/journal.rs
+++ b/crates/relay/tests/journal.rs
@@ -21,6 +21,7 @@
         slots: 10,
         leaving,
         born: None,
+        release: None,
     }
 }
 
--- a/crates/relay/tests/nodes/support.rs
+++ b/crates/relay/tests/nodes/support.rs
@@ -125,6 +125,7 @@
         slots: 10,
         leaving: false,
         born: None,
+        release: None,
     }
 }
 
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -43,13 +43,17 @@
 //! * an endpoint never gets more requests than it has slots, including the
 //!   peers' requests, as far as this node knows.
 
+mod cohort;
 mod endpoint;
 mod limit;
+mod listing;
 mod slots;
 mod types;
 
+pub use cohort::{Cohort, Policy};
 pub use limit::share;
-pub use types::{Capacity, Choice, Distance, Limit, Listing, Load, Outcome, Query, Size, Usage};
+pub use listing::Listing;
+pub use types::{Capacity, Choice, Distance, Limit, Load, Outcome, Query, Size, Usage};
 
 use endpoint::{Endpoint, SLOWDOWN_BOUNDS};
 use std::{
@@ -105,6 +109,7 @@
     owned: BTreeSet<ServiceId>,
     /// Limits of endpoints that are not listed yet, with the start of their process.
     early_limits: HashMap<EndpointId, (Option<u64>, Limit)>,
+    rollouts: cohort::Rollouts,
 }
 
 impl Default for Fleet {
@@ -117,6 +122,7 @@
             service_slots: HashMap::new(),
             owned: BTreeSet::new(),
             early_limits: HashMap::new(),
+            rollouts: cohort::Rollouts::default(),
         }
     }
 }
--- a/crates/sched/src/fleet/types.rs
+++ b/crates/sched/src/fleet/types.rs
@@ -1,8 +1,9 @@
 //! Types of the fleet's interface: endpoints, requests and reports.
 
+use super::cohort::Cohort;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
-use units::{EndpointId, RequestRate, ServiceId, Time, Tokens, ZoneId};
+use units::{EndpointId, RequestRate, ServiceId, Time, Tokens};
 
 /// Distance of an endpoint from this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,25 +27,6 @@
     }
 }
 
-/// Endpoint, as listed in the directory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Listing {
-    /// Endpoint.
-    pub id: EndpointId,
-    /// Service that it runs.
-    pub service: ServiceId,
-    /// Address of its server.
-    pub address: SocketAddr,
-    /// Availability zone.
-    pub zone: ZoneId,
-    /// Requests that it runs concurrently; 0 if unknown.
-    pub slots: u32,
-    /// Whether it accepts no new requests.
-    pub leaving: bool,
-    /// Start time of its process, in Unix milliseconds.
-    pub born: Option<u64>,
-}
-
 /// Load that an endpoint reports with a response.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -100,6 +82,8 @@
     pub target_gap: Option<Duration>,
     /// Whether the response is a stream.
     pub streamed: bool,
+    /// Cohort of the request; it matters only while the service has a rollout.
+    pub cohort: Cohort,
 }
 
 /// Selected endpoint.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod prefix;
 pub mod quarantine;
 pub mod quota;
+pub mod rollout;
 pub mod route;
 pub mod straggler;
 pub mod strike;
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::cast_precision_loss, reason = "helpers of tests")]
 
 use rand_pcg::{Pcg64, rand_core::SeedableRng};
-use sched::fleet::{Distance, Fleet, Listing, Load, Outcome, Query, Size, Usage};
+use sched::fleet::{Cohort, Distance, Fleet, Listing, Load, Outcome, Query, Size, Usage};
 use std::{collections::HashMap, time::Duration};
 use units::{EndpointId, InstanceId, ServiceId, Time, Tokens, ZoneId};
 
@@ -28,6 +28,7 @@
         slots: SLOTS,
         leaving: false,
         born: None,
+        release: None,
     }
 }
 
@@ -42,6 +43,7 @@
 fn query<'a>(service: &'a ServiceId, prompt: u64) -> Query<'a> {
     Query {
         streamed: true,
+        cohort: Cohort::Any,
         service,
         size: Size { prompt: Tokens(prompt), output: Tokens(0) },
         avoid: &[],
--- a/crates/sched/tests/limit.rs
+++ b/crates/sched/tests/limit.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use proptest::prelude::*;
-use sched::fleet::{Distance, Fleet, Limit, Listing, Outcome, Query, Size, share};
+use sched::fleet::{Cohort, Distance, Fleet, Limit, Listing, Outcome, Query, Size, share};
 use std::time::Duration;
 use units::{EndpointId, RequestRate, ServiceId, Time, Tokens, ZoneId};
 
@@ -34,6 +34,7 @@
         slots: 1_000,
         leaving: false,
         born,
+        release: None,
     }
 }
 
@@ -53,6 +54,7 @@
         max_connections: u32::MAX,
         target_gap: None,
         streamed: false,
+        cohort: Cohort::Any,
     };
     let mut sent = 0;
     while let Some(choice) = fleet.select(&query, now) {
--- a/crates/units/src/id.rs
+++ b/crates/units/src/id.rs
@@ -49,6 +49,8 @@
     EndpointId;
     /// Service that requests are addressed to.
     ServiceId;
+    /// Version of an endpoint's software.
+    Release;
     /// Priority tier of requests, declared in a service file.
     TierId;
     /// Key by which a caller marks repetitions of the same call.
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -20,7 +20,7 @@
     hash::{Fingerprint, PrefixHash, score},
     id::{
         AttemptToken, EndpointId, IdempotencyKey, InstanceId, OrganisationId, ParseError, RegionId,
-        RequestId, ServiceId, TierId, ZoneId,
+        Release, RequestId, ServiceId, TierId, ZoneId,
     },
     number::{Bytes, Permit, Rank, Tokens, TokensPerSecond, Version, Work},
     rate::{InvalidRate, RequestRate},
