--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -126,6 +126,18 @@
     Placement = 601;
     /// An endpoint refused or accepted an order.
     Order = 602;
+    /// A rollout entered a stage: service, order, release, reason, age.
+    RolloutStage = 700;
+    /// A rollout is in progress: counts of both releases, what it waits for.
+    RolloutProgress = 701;
+    /// This node stopped using a release on its own counts, until it learns of the next stage.
+    RolloutStopped = 702;
+    /// An order of a rollout cannot be executed: cause.
+    RolloutRejected = 703;
+    /// The store holds a stage of a rollout.
+    RolloutSaved = 704;
+    /// A stage of a rollout could not be written to the store; it is tried again.
+    RolloutUnsaved = 705;
 }
 
 impl Event {
--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -1,4 +1,4 @@
-//! Announcements to all other nodes: evidence of crashes, and limits of endpoints.
+//! Announcements to all other nodes: evidence of crashes, limits of endpoints and stages of rollouts.
 //!
 //! What a node learns from a response goes to all others at once, since each may
 //! use the endpoint next. Datagrams may be lost, and nodes start later. Each node
@@ -6,7 +6,9 @@
 //! so that what a node sends does not grow with the cluster. The nodes that read
 //! the store send it to a node when they first hear from it.
 
-use crate::{blackboard::Blackboard, digest::Datagram, limits, peers, quarantine};
+use crate::{
+    blackboard::Blackboard, digest::Datagram, limits, peers, quarantine, rollout::messages,
+};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::net::UdpSocket;
 use units::Time;
@@ -19,17 +21,19 @@
 /// Time in which news are gathered for one datagram: that of the requests of one crash.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
-/// Announcements that a node which has missed all of them needs most.
-fn summary(board: &Blackboard) -> Vec<Datagram> {
+/// Announcements that a node which has missed all of them needs most; `is_new` for one that has just
+/// started.
+fn summary(board: &Blackboard, is_new: bool) -> Vec<Datagram> {
     let mut datagrams = quarantine::summary(board);
     datagrams.extend(limits::summary(board));
+    datagrams.extend(messages::summary(board, is_new));
     datagrams
 }
 
 /// Sends what matters to a node that has just started, if this node reads the store.
 pub fn greet(board: &Blackboard, socket: &UdpSocket, to: SocketAddr) {
     if board.is_reader() {
-        for datagram in summary(board) {
+        for datagram in summary(board, true) {
             peers::send_to(board, socket, &datagram, &[to]);
         }
     }
@@ -46,11 +50,12 @@
         let now = board.now();
         let mut datagrams = quarantine::take_unsent(&board);
         datagrams.extend(limits::take_unsent(&board));
+        datagrams.extend(messages::take_unsent(&board));
         if now.since(repeated) >= REPEAT_INTERVAL {
             repeated = now;
             board.quarantine.borrow_mut().prune(now);
             let some = board.roster.borrow().sample(REPEAT_FANOUT);
-            for datagram in summary(&board) {
+            for datagram in summary(&board, false) {
                 peers::send_to(&board, &socket, &datagram, &some);
             }
         }
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -15,6 +15,7 @@
     owner::Cells,
     permit::{Message, Outbox},
     pool::Pool,
+    rollout::{Rollouts, coordinator::Coordinating},
     roster::Owner,
     roster::Roster,
     settings::Settings,
@@ -124,6 +125,12 @@
     pub limited_services: RefCell<BTreeSet<ServiceId>>,
     /// Notified when there is something to announce to the other nodes.
     pub announce_now: Notify,
+    /// Rollouts that this node knows.
+    pub rollouts: RefCell<Rollouts>,
+    /// Rollouts that this node coordinates.
+    pub coordinating: RefCell<Coordinating>,
+    /// Notified when an order or a stage of a rollout is new.
+    pub rollouts_changed: Notify,
     /// Permits that this node waits for and holds.
     pub permits: RefCell<Permits>,
     /// Permits that this node issues, and other cells.
@@ -184,6 +191,9 @@
             roster: RefCell::new(
                 Roster::new(settings.instance.clone()).with_regions(settings.region_count()),
             ),
+            rollouts: RefCell::default(),
+            coordinating: RefCell::default(),
+            rollouts_changed: Notify::new(),
             permits: RefCell::default(),
             cells: RefCell::default(),
             outbox: RefCell::default(),
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -8,6 +8,7 @@
     authentication::{append_hmac, verify_hmac},
     journal::Delta,
     permit::Message,
+    rollout::{Announcement, Counts},
 };
 use anyhow::{Context, Result};
 use sched::quarantine::Evidence;
@@ -122,6 +123,10 @@
     Crashes(Box<[Evidence]>),
     /// Limits that endpoints named, or that have ended.
     Limits(Box<[Limit]>),
+    /// Stages of rollouts.
+    Rollouts(Box<[Announcement]>),
+    /// Counts of a node for the coordinator of a rollout.
+    Counts(Box<Counts>),
 }
 
 impl Datagram {
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -8,11 +8,12 @@
 //! would count it as part of the cluster for a while. Nodes that read the store
 //! for the others therefore delete rows of nodes that have been silent for
 //! long. A node that was only partitioned finds its row missing and writes it
-//! again. The table also holds evidence, see [`crate::quarantine`].
+//! again. The table also holds evidence, see [`crate::quarantine`], and
+//! rollouts, see [`crate::rollout`].
 
 use crate::{
     blackboard::Blackboard,
-    quarantine,
+    quarantine, rollout,
     watch::{Error, Row, Store, Table, read_table},
 };
 use codes::Event;
@@ -104,6 +105,9 @@
                 if let Err(error) = apply_rows(&board, &*store, &rows).await {
                     log_error(&board, "writing the secret failed", &error);
                 }
+                if rollout::is_enabled(&board) {
+                    rollout::save::load(&board, &*store, &rows);
+                }
                 // Later, a row may be older than what this node has forgotten.
                 if !board.nodes_known.replace(true) {
                     quarantine::load(&board, &rows);
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -11,6 +11,7 @@
     holder,
     permit::{End, Message},
     request,
+    rollout::{self, Ticket, counts::Response},
     roster::Roster,
 };
 use codes::Code;
@@ -124,6 +125,7 @@
     target_gap: Option<Duration>,
     size: Size,
     streamed: bool,
+    cohort: Cohort,
 }
 
 /// Queued requests of a node.
@@ -221,6 +223,10 @@
     load: Option<Load>,
     /// Identifier of its permit, if the owner of the endpoint's cell issued one.
     permit: Option<RequestId>,
+    /// Route of the request, as a short hash, and its deadline, once it is sent.
+    sent: Option<(u32, Time)>,
+    /// Counts the request, if the deployment has rollouts.
+    ticket: Option<Ticket>,
     /// Selected endpoint.
     pub choice: Choice,
     /// Time at which the slot was acquired.
@@ -228,7 +234,13 @@
 }
 
 impl Slot {
-    fn new(board: &Rc<Blackboard>, service: &ServiceId, size: Size, choice: Choice) -> Self {
+    fn new(
+        board: &Rc<Blackboard>,
+        service: &ServiceId,
+        size: Size,
+        choice: Choice,
+        ticket: Option<Ticket>,
+    ) -> Self {
         let now = board.now();
         Self {
             board: Rc::clone(board),
@@ -241,6 +253,8 @@
             events: 0,
             load: None,
             permit: None,
+            sent: None,
+            ticket,
             choice,
             acquired: now,
         }
@@ -254,7 +268,9 @@
         permit: RequestId,
         choice: Choice,
     ) -> Self {
-        let mut slot = Self::new(board, &submission.service, submission.size, choice);
+        let service = &submission.service;
+        let ticket = Ticket::new(board, &board.fleet.borrow(), service, &choice.endpoint);
+        let mut slot = Self::new(board, service, submission.size, choice, ticket);
         slot.permit = Some(permit);
         slot
     }
@@ -306,6 +322,36 @@
         self.last_event = now;
     }
 
+    /// Records that a request of a route is sent.
+    pub fn record_sent(&mut self, route: &str, deadline: Time) {
+        self.sent = Some((short_hash(route), deadline));
+    }
+
+    /// Whether the endpoint must not be used any more, by a rollout that has ended since it was chosen.
+    #[must_use]
+    pub fn is_void(&self) -> bool {
+        self.ticket.as_ref().is_some_and(Ticket::is_void)
+    }
+
+    /// Time at which a resumable stream is to leave its endpoint, by a rollout.
+    #[must_use]
+    pub fn leave_at(&self) -> Option<Time> {
+        self.ticket.as_ref()?.leave_at()
+    }
+
+    /// Counts the response for a rollout.
+    fn count(&self, now: Time) {
+        let (Some(ticket), Some((route, deadline))) = (&self.ticket, self.sent) else { return };
+        let gaps = self.events.saturating_sub(1);
+        let response = Response {
+            outcome: self.outcome,
+            timed_out: now >= deadline,
+            first: self.first_event.since(self.acquired),
+            gap: self.last_event.since(self.first_event).checked_div(gaps),
+        };
+        ticket.record(route, &response);
+    }
+
     /// Whether an event has arrived.
     #[must_use]
     pub fn has_response(&self) -> bool {
@@ -321,6 +367,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.board.now();
+        self.count(now);
         let endpoint = &self.choice.endpoint;
         let mut fleet = self.board.fleet.borrow_mut();
         if self.outcome == Outcome::Completed {
@@ -433,7 +480,8 @@
         in_flight: 0,
         candidates: 0,
     };
-    let mut slot = Slot::new(board, &listing.service, size, choice);
+    let ticket = Ticket::new(board, &board.fleet.borrow(), &listing.service, &choice.endpoint);
+    let mut slot = Slot::new(board, &listing.service, size, choice, ticket);
     slot.has_response = true;
     Some(slot)
 }
@@ -457,6 +505,7 @@
             target_gap: submission.target_gap,
             size: submission.size,
             streamed: submission.streamed,
+            cohort: rollout::sample(board, &submission.service, avoid),
         },
     )?;
     let _guard = Guard { board, service: &submission.service, request: submission.request };
@@ -558,7 +607,7 @@
         let (avoid, target_gap, size) = (&*waiter.avoid, waiter.target_gap, waiter.size);
         let streamed = waiter.streamed;
         let max_connections = connections;
-        let cohort = Cohort::Any;
+        let cohort = waiter.cohort;
         let query = Query { service, size, avoid, max_connections, target_gap, streamed, cohort };
         fleet.select(&query, now)
     })?;
@@ -566,7 +615,8 @@
     let size = waiter.size;
     fleet.start(&choice.endpoint, size);
     fleet.take_token(&choice.endpoint, now);
-    Some((waiter.decision, Slot::new(board, service, size, choice)))
+    let ticket = Ticket::new(board, &fleet, service, &choice.endpoint);
+    Some((waiter.decision, Slot::new(board, service, size, choice, ticket)))
 }
 
 /// Expires requests past their deadline and retries the dispatch of the others.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -38,6 +38,9 @@
 /// Time limit for such a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Delay before another endpoint is chosen in place of one whose release is not in use any more.
+const STAGE_DELAY: Duration = Duration::from_millis(20);
+
 /// Logs a caller that leaves before the response head; its task is dropped in that case.
 struct Caller<'a> {
     board: &'a Blackboard,
@@ -206,9 +209,16 @@
 pub async fn send(
     board: &Rc<Blackboard>,
     accepted: &admission::Request,
-    slot: Slot,
+    mut slot: Slot,
     resume_after: Option<u64>,
 ) -> Result<Response, Failure> {
+    if slot.is_void() {
+        slot.release(Outcome::Cancelled);
+        // The node that chose the endpoint learns of the stage meanwhile.
+        tokio::time::sleep(STAGE_DELAY).await;
+        return Err(Failure::Unsent("its release is not in use any more".into()));
+    }
+    slot.record_sent(&accepted.route.name, accepted.deadline);
     let now = board.now();
     let waited = now.since(accepted.arrived);
     info!(board.log, "routed"; Event::Routed, "request" => &*accepted.head.attempt,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,8 @@
 //!   [`peers`] exchanges [`digest`]s of in-flight requests with them.
 //! * [`transfer`] passes whole documents on, so that few nodes read them from
 //!   the store.
+//! * [`rollout`] moves the traffic of a service to another release of its
+//!   endpoints' software.
 //! * [`watch`] follows the store's tables on a few nodes; the others learn of
 //!   changes in the endpoint [`directory`] through its [`journal`].
 //!
@@ -61,6 +63,7 @@
 pub mod reply;
 pub mod request;
 pub mod response;
+pub mod rollout;
 pub mod roster;
 pub mod serve;
 pub mod settings;
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::{
     announce,
     blackboard::{Blackboard, Phase},
-    discovery, dispatcher, holder, owner, peers, quarantine, serve, transfer,
+    discovery, dispatcher, holder, owner, peers, quarantine, rollout, serve, transfer,
     watch::{self, Store},
 };
 use anyhow::Result;
@@ -89,6 +89,8 @@
     supervise(&board, &sockets.transfers, "transfers", transfer::serve);
     supervise(&board, &store, "discovery", discovery::run);
     supervise(&board, &store, "evidence", quarantine::save);
+    supervise(&board, &store, "rollout rows", rollout::save::run);
+    supervise(&board, &socket, "rollouts", rollout::coordinator::run);
     supervise(&board, &store, "configuration", watch::follow_configuration);
     supervise(&board, &store, "endpoints", watch::follow_endpoints);
     supervise(&board, &socket, "receive", peers::receive);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -14,7 +14,7 @@
     digest::{Datagram, Digest, Load, Spent, short_hash},
     directory, dispatcher, holder, limits, owner,
     permit::Message,
-    quarantine,
+    quarantine, rollout,
     watch::REAPPEARANCE_TIME,
 };
 use codes::Event;
@@ -52,6 +52,10 @@
         Ok(Datagram::Permits(messages)) => return handle_permits(board, messages, from),
         Ok(Datagram::Crashes(evidence)) => return quarantine::merge(board, &evidence, from),
         Ok(Datagram::Limits(limits)) => return limits::merge(board, &limits, from),
+        Ok(Datagram::Rollouts(rollouts)) => {
+            return rollout::merge(board, &rollouts, &from.to_string());
+        }
+        Ok(Datagram::Counts(counts)) => return rollout::coordinator::record(board, *counts),
         Err(e) => {
             board.metrics.count("datagram", "refused");
             return info!(board.log, "datagram refused"; Event::DatagramRefused,
--- /dev/null
+++ b/crates/relay/src/rollout/orders.rs
@@ -0,0 +1,283 @@
+//! Rollouts that a node knows.
+//!
+//! Failure: orders and stages that arrive out of order, more than once or from
+//! several sources. A later order of a service replaces an earlier one; of the
+//! same order, the stage that takes precedence stays in force.
+
+use super::messages::Announcement;
+use sched::rollout::{Order, OrderId, Report, Stage};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use units::{Release, ServiceId, Time, Version};
+
+/// Maximum number of services with a rollout; the oldest one that has ended makes room.
+const MAX_ENTRIES: usize = 256;
+/// Maximum number of releases of earlier orders that are remembered for a service.
+const MAX_EXCLUDED: usize = 8;
+/// Time for which the end of a rollout is repeated to the other nodes.
+const END_REPEATED_FOR: Duration = Duration::from_secs(30);
+
+/// Release of an order that names none.
+const UNKNOWN_RELEASE: &str = "unknown";
+
+/// Order as the operator wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Directive {
+    /// Order.
+    pub order: Order,
+    /// Why it cannot be executed, if it cannot.
+    pub invalid: Option<Box<str>>,
+}
+
+impl Directive {
+    /// Order that cannot be executed.
+    #[must_use]
+    pub fn invalid(
+        service: &ServiceId,
+        to: Option<Release>,
+        version: Version,
+        cause: Box<str>,
+    ) -> Self {
+        let order = Order {
+            id: OrderId(version.get()),
+            service: service.clone(),
+            to: to.unwrap_or_else(|| Release::new(UNKNOWN_RELEASE).expect("the text is valid")),
+            limit: Duration::ZERO,
+        };
+        Self { order, invalid: Some(cause) }
+    }
+}
+
+/// Rollout of a service, as this node knows it.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Order.
+    pub order: Order,
+    /// Stage in force.
+    pub stage: Stage,
+    /// Releases of earlier orders that get no requests.
+    pub excluded: BTreeSet<Release>,
+    /// Whether this node has stopped on its own since it learned of the stage.
+    pub stopped: bool,
+    /// Whether this node, as the coordinator, has decided that the rollout is complete.
+    pub proposed: bool,
+    /// Stage that the store is known to hold.
+    pub saved: Option<Stage>,
+    /// Responses of this node since the order.
+    pub counts: Report,
+    /// Same, but those of the candidate only since the stage in force.
+    pub recent: Report,
+    /// Age of the order at `known_at`.
+    age: Duration,
+    known_at: Time,
+    changed_at: Time,
+}
+
+impl Entry {
+    fn new(order: Order, stage: Stage, age: Duration, now: Time) -> Self {
+        let report = Report::new(order.id);
+        Self {
+            order,
+            stage,
+            excluded: BTreeSet::new(),
+            stopped: false,
+            proposed: false,
+            saved: None,
+            counts: report.clone(),
+            recent: report,
+            age,
+            known_at: now,
+            changed_at: now,
+        }
+    }
+
+    /// Time since the store held the order.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Duration {
+        self.age + now.since(self.known_at)
+    }
+
+    /// Time at which the order has an age; not before it was known.
+    #[must_use]
+    pub fn time_at(&self, age: Duration) -> Time {
+        self.known_at + age.saturating_sub(self.age)
+    }
+
+    /// Stage that this node follows.
+    #[must_use]
+    pub fn effective_stage(&self) -> Stage {
+        if self.stopped && !self.stage.is_final() { Stage::Reverted } else { self.stage }
+    }
+
+    /// Stage that the store is to hold.
+    #[must_use]
+    pub fn desired(&self) -> Stage {
+        if self.proposed && self.stage != Stage::Reverted { Stage::Completed } else { self.stage }
+    }
+
+    /// Whether the store is not known to hold what it is to hold.
+    #[must_use]
+    pub fn is_unsaved(&self) -> bool {
+        self.saved != Some(self.desired())
+    }
+
+    fn set_stage(&mut self, stage: Stage, now: Time) -> bool {
+        let merged = self.stage.merge(stage);
+        if merged == self.stage {
+            return false;
+        }
+        self.stage = merged;
+        self.changed_at = now;
+        self.stopped = false;
+        // Excess from before the stage must not stop the node again.
+        self.recent.routes.values_mut().for_each(|route| route.candidate.clear());
+        true
+    }
+
+    fn announcement(&self, now: Time) -> Announcement {
+        Announcement {
+            order: self.order.clone(),
+            stage: self.stage,
+            age_ms: u64::try_from(self.age(now).as_millis()).unwrap_or(u64::MAX),
+            excluded: self.excluded.iter().cloned().collect(),
+        }
+    }
+}
+
+/// Rollouts that a node knows.
+#[derive(Debug, Default)]
+pub struct Rollouts {
+    entries: BTreeMap<ServiceId, Entry>,
+    unsent: BTreeSet<ServiceId>,
+    /// This node's requests in flight, by service and release.
+    pub running: BTreeMap<ServiceId, BTreeMap<Option<Release>, u32>>,
+}
+
+impl Rollouts {
+    /// Rollout of a service.
+    #[must_use]
+    pub fn get(&self, service: &ServiceId) -> Option<&Entry> {
+        self.entries.get(service)
+    }
+
+    /// Rollout of a service.
+    pub fn get_mut(&mut self, service: &ServiceId) -> Option<&mut Entry> {
+        self.entries.get_mut(service)
+    }
+
+    /// Services with a rollout, also with one that has ended.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.entries.keys()
+    }
+
+    /// Rollouts that have not ended.
+    pub fn open(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().filter(|entry| !entry.stage.is_final())
+    }
+
+    /// Services whose state the store is not known to hold.
+    #[must_use]
+    pub fn unsaved(&self) -> Vec<ServiceId> {
+        let unsaved = self.entries.values().filter(|entry| entry.is_unsaved());
+        unsaved.map(|entry| entry.order.service.clone()).collect()
+    }
+
+    /// Takes over an order from the store; returns whether it is new.
+    pub fn apply(&mut self, directive: Directive, now: Time) -> bool {
+        let Directive { order, invalid } = directive;
+        let before = self.entries.get(&order.service);
+        if before.is_some_and(|known| known.order.id >= order.id) {
+            return false;
+        }
+        let is_done =
+            before.is_some_and(|old| old.stage == Stage::Completed && old.order.to == order.to);
+        let stage = match invalid {
+            Some(_) => Stage::Reverted,
+            None if is_done => Stage::Completed,
+            None => Stage::Canary,
+        };
+        self.replace(Entry::new(order, stage, Duration::ZERO, now));
+        true
+    }
+
+    /// Takes over what another node or the store has told; returns whether the stage in force or the
+    /// order is new.
+    pub fn merge(&mut self, announcement: &Announcement, now: Time) -> bool {
+        let Announcement { order, stage, age_ms, excluded } = announcement;
+        let age = Duration::from_millis(*age_ms);
+        match self.entries.get_mut(&order.service) {
+            Some(known) if known.order.id > order.id => false,
+            Some(known) if known.order.id == order.id => {
+                if age > known.age(now) {
+                    (known.age, known.known_at) = (age, now);
+                }
+                known.set_stage(*stage, now)
+            }
+            _ => {
+                let mut entry = Entry::new(order.clone(), *stage, age, now);
+                entry.excluded = excluded.iter().take(MAX_EXCLUDED).cloned().collect();
+                self.replace(entry);
+                true
+            }
+        }
+    }
+
+    /// Adds the rollout of an order that is newer than the known one of its service. The release of an
+    /// earlier order that was not completed gets no more requests.
+    fn replace(&mut self, mut entry: Entry) {
+        if let Some(old) = self.entries.get(&entry.order.service) {
+            entry.excluded.extend(old.excluded.iter().cloned());
+            if old.stage != Stage::Completed {
+                entry.excluded.insert(old.order.to.clone());
+            }
+        }
+        entry.excluded.remove(&entry.order.to);
+        while entry.excluded.len() > MAX_EXCLUDED {
+            entry.excluded.pop_first();
+        }
+        let service = entry.order.service.clone();
+        self.entries.insert(service, entry);
+        if self.entries.len() > MAX_ENTRIES {
+            let ended = self.entries.values().filter(|entry| entry.stage.is_final());
+            let oldest = ended.min_by_key(|entry| entry.changed_at);
+            if let Some(service) = oldest.map(|entry| entry.order.service.clone()) {
+                self.entries.remove(&service);
+            }
+        }
+    }
+
+    /// Sets the stage of a service's rollout; returns whether it changed.
+    pub fn set_stage(&mut self, service: &ServiceId, stage: Stage, now: Time) -> bool {
+        self.entries.get_mut(service).is_some_and(|entry| entry.set_stage(stage, now))
+    }
+
+    /// Has the rollout of a service announced to all nodes.
+    pub fn queue(&mut self, service: &ServiceId) {
+        self.unsent.insert(service.clone());
+    }
+
+    /// Announcements that are to be sent to all nodes.
+    pub fn take_unsent(&mut self, now: Time) -> Vec<Announcement> {
+        let unsent = std::mem::take(&mut self.unsent);
+        unsent.iter().filter_map(|s| Some(self.entries.get(s)?.announcement(now))).collect()
+    }
+
+    /// Announcements to repeat: rollouts that are open or have ended lately, or `all` of them.
+    #[must_use]
+    pub fn summary(&self, all: bool, now: Time) -> Vec<Announcement> {
+        let is_repeated = |entry: &&Entry| {
+            all || !entry.stage.is_final() || now.since(entry.changed_at) < END_REPEATED_FOR
+        };
+        let entries = self.entries.values().filter(is_repeated);
+        entries.map(|entry| entry.announcement(now)).collect()
+    }
+
+    /// Number of this node's requests in flight at endpoints of other releases than `candidate`.
+    #[must_use]
+    pub fn running_at_stable(&self, service: &ServiceId, candidate: &Release) -> u32 {
+        let running = self.running.get(service).into_iter().flatten();
+        running.filter(|(release, _)| release.as_ref() != Some(candidate)).map(|(_, n)| n).sum()
+    }
+}
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -9,7 +9,7 @@
 };
 use rand::seq::{IndexedRandom, IteratorRandom};
 use sched::fleet::Distance;
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, net::SocketAddr, time::Duration};
 use units::{InstanceId, ServiceId, Time, Version};
 
 /// Shortest interval between digests: a tenth of the time for which a stream holds its slot.
@@ -40,6 +40,8 @@
 const SUSPICION_TIME: Duration = Duration::from_secs(2);
 /// Number of nodes per reader between these limits.
 const NODES_PER_READER: usize = 12;
+/// Number of nodes that collect the counts of a rollout: its coordinator and the standby.
+const COORDINATORS: usize = 2;
 /// Key for choosing the readers by rendezvous hashing.
 const READER_KEY: &str = "store readers";
 
@@ -332,6 +334,31 @@
         u32::try_from(ahead.count()).unwrap_or(u32::MAX)
     }
 
+    /// Live nodes.
+    #[must_use]
+    pub fn live_nodes(&self, now: Time) -> Vec<InstanceId> {
+        self.live_peers(now).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// First two of the live nodes that read the store, by rendezvous hashing for a key; those that
+    /// have lost the store come last. None stands for this node; `this` tells whether it has lost the
+    /// store, if it is a reader.
+    #[must_use]
+    pub fn coordinators(
+        &self,
+        key: &str,
+        this: Option<bool>,
+        now: Time,
+    ) -> Vec<Option<SocketAddr>> {
+        let rank = |lost: bool, id: &InstanceId| (lost, Reverse(units::score(id.as_str(), key)));
+        let readers = self.live_peers(now).filter(|(_, peer)| peer.is_reader);
+        let readers = readers.map(|(id, peer)| (rank(peer.store_lost, id), Some(peer.address)));
+        let this = this.zip(self.instance.as_ref()).map(|(lost, id)| (rank(lost, id), None));
+        let mut nodes: Vec<_> = readers.chain(this).collect();
+        nodes.sort_unstable_by_key(|(rank, _)| *rank);
+        nodes.into_iter().take(COORDINATORS).map(|(_, address)| address).collect()
+    }
+
     /// Sets this node's preference as an owner of cells; 0 if it cannot be one.
     pub fn set_owner_weight(&mut self, weight: u32) {
         self.owner_weight = weight;
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -1,6 +1,6 @@
 //! Validated settings of a node.
 
-use sched::{budget::Bound, fleet::Distance};
+use sched::{budget::Bound, fleet::Distance, rollout::Bounds};
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
@@ -25,6 +25,8 @@
     pub grace: Duration,
     /// Time after which a new configuration must be in force at every node.
     pub apply_time: Duration,
+    /// Bounds of rollouts, if the deployment has them.
+    pub rollout: Option<Bounds>,
     /// Processor time, in hundredths of a core.
     pub processor: u32,
     /// Memory limit of the process, in bytes.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -130,6 +130,8 @@
     Silent,
     /// The stream is being moved to another endpoint.
     Moved,
+    /// The endpoint's release is being replaced.
+    Replaced,
     TimedOut,
 }
 
@@ -196,7 +198,9 @@
             Ok(bytes) => self.pending = Some(bytes),
             Err(End::Complete) => self.complete(),
             Err(End::TimedOut) => return Err(Failure::TimedOut),
-            Err(End::Silent | End::Moved) => return Err(Failure::Lost("silent".into())),
+            Err(End::Silent | End::Moved | End::Replaced) => {
+                return Err(Failure::Lost("silent".into()));
+            }
             Err(End::Broken(cause)) => {
                 if let Some(site) = self.fail_segment() {
                     quarantine::record_if_crashed(&self.board, &self.accepted, site).await;
@@ -254,6 +258,7 @@
                 }
                 End::Silent => self.handle_silence(),
                 End::Moved => {}
+                End::Replaced => self.leave(),
                 End::Broken(cause) => self.resume(cause)?,
             }
         }
@@ -334,6 +339,12 @@
                 }
                 until = until.min(silent_at);
             }
+            if let Some(leave_at) = self.leave_at() {
+                if now >= leave_at {
+                    return Poll::Ready(End::Replaced);
+                }
+                until = until.min(leave_at);
+            }
             let at = Instant::now() + until.since(now);
             // The timer is moved only if it would fire too late or has fired; if it fires early,
             // this loop rearms it.
@@ -438,6 +449,25 @@
         true
     }
 
+    /// Time at which the stream leaves its endpoint, by a rollout.
+    fn leave_at(&self) -> Option<Time> {
+        let State::Reading(segment) = &self.state else { return None };
+        let resumable = self.accepted.route.kind == Kind::ResumableStream;
+        if resumable && self.first_event.is_some() { segment.slot.leave_at() } else { None }
+    }
+
+    /// Leaves an endpoint whose release is being replaced; no attempt is charged for it.
+    fn leave(&mut self) {
+        self.search = None;
+        let State::Reading(segment) = std::mem::replace(&mut self.state, State::Ended) else {
+            return;
+        };
+        let endpoint = segment.slot.endpoint().clone();
+        segment.slot.release(Outcome::Cancelled);
+        self.history.tried.push(endpoint.clone());
+        self.resume_from(&endpoint, None);
+    }
+
     /// Continues after the last event at another endpoint, that of `slot` if there is one.
     fn resume_from(&mut self, endpoint: &EndpointId, slot: Option<Slot>) {
         self.decoder.discard_partial();
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -20,6 +20,10 @@
     blackboard::Blackboard,
     configuration::Configuration,
     directory, dispatcher,
+    rollout::{
+        self, Directive,
+        save::{Rows, Status},
+    },
     transfer::{self, Document, Kind},
 };
 use anyhow::Result;
@@ -33,7 +37,7 @@
     rc::Rc,
     time::Duration,
 };
-use units::{EndpointId, Time, Version};
+use units::{EndpointId, ServiceId, Time, Version};
 
 /// Long-poll wait for changes of the configuration; a connection that went silent costs at most
 /// this plus the client's timeout.
@@ -135,6 +139,45 @@
     /// Deletes a row of the nodes' table if it still has the given version.
     fn delete(&self, key: &str, version: Version) -> impl Future<Output = Result<(), Error>>;
 
+    /// Reads the rows of a service's rollout; `key` is that of the nodes' own row.
+    fn read_rollout(
+        &self,
+        service: &ServiceId,
+        key: &str,
+    ) -> impl Future<Output = Result<Rows, Error>> {
+        let _ = (service, key);
+        std::future::ready(Err(Error::Unavailable("no rollouts".into())))
+    }
+
+    /// Writes the rows of a service's rollout in one transaction, if they are as `read`.
+    fn write_rollout(
+        &self,
+        key: &str,
+        status: &Status,
+        own: &[u8],
+        read: &Rows,
+    ) -> impl Future<Output = Result<(), Error>> {
+        let _ = (key, status, own, read);
+        std::future::ready(Err(Error::Unavailable("no rollouts".into())))
+    }
+
+    /// Time of the store's steady clock now, in ms, as of its last response.
+    fn clock_ms(&self) -> Option<u64> {
+        None
+    }
+
+    /// Service of a rollout, if the key in the operators' table is that of an order.
+    fn order_service(&self, key: &str) -> Option<ServiceId> {
+        let _ = key;
+        None
+    }
+
+    /// Decodes an order. A value that cannot be decoded gives an order that cannot be executed.
+    fn decode_order(&self, service: &ServiceId, value: &[u8], version: Version) -> Directive {
+        let _ = value;
+        Directive::invalid(service, None, version, "no rollouts".into())
+    }
+
     /// Decodes the configuration.
     ///
     /// # Errors
@@ -413,7 +456,8 @@
     loop {
         let values = match follower.next(&board, &*store).await {
             Next::Document(document) => vec![(document.content().map(Bytes::from), Some(document))],
-            Next::Rows(update) => {
+            Next::Rows(mut update) => {
+                rollout::apply_rows(&board, &*store, &mut update);
                 let values = update.rows.into_iter().filter_map(|row| row.value);
                 values.map(|value| (Ok(value), None)).collect()
             }
