--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -38,6 +38,9 @@
 //! An endpoint in need names a rate that it takes from all nodes together. Nodes
 //! share it, see `limit`.
 //!
+//! While a service has a rollout, a request uses the endpoints of some releases only, see
+//! `cohort`.
+//!
 //! Invariants:
 //! * an endpoint that is leaving or gone is never selected;
 //! * an endpoint never gets more requests than it has slots, including the
@@ -55,6 +58,7 @@
 pub use listing::Listing;
 pub use types::{Capacity, Choice, Distance, Limit, Load, Outcome, Query, Size, Usage};
 
+use cohort::Role;
 use endpoint::{Endpoint, SLOWDOWN_BOUNDS};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -140,10 +144,14 @@
     }
 
     /// Whether an endpoint may get requests of this node, as far as this node knows: it is listed, does
-    /// not leave, and has not asked for none.
+    /// not leave, has not asked for none, and its release is in use.
     #[must_use]
     pub fn accepts(&self, id: &EndpointId, now: Time) -> bool {
-        self.endpoints.get(id).is_some_and(|e| !e.is_leaving() && !e.is_refusing(now))
+        self.endpoints.get(id).is_some_and(|e| {
+            !e.is_leaving()
+                && !e.is_refusing(now)
+                && self.rollouts.role(&e.listing, now) != Role::Closed
+        })
     }
 
     /// Records that a response says that its endpoint is leaving; true if that is new.
@@ -160,6 +168,8 @@
 
     /// Adds or updates a listing; true if it changes.
     pub fn upsert(&mut self, listing: Listing, distance: Distance, now: Time) -> bool {
+        let before = self.endpoints.get(&listing.id).map(|endpoint| &endpoint.listing);
+        self.rollouts.record_listing(before, &listing, now);
         let changed = self.update(listing.clone(), distance);
         if let Some(known) = self.endpoints.get_mut(&listing.id) {
             known.listed_at = now;
@@ -187,7 +197,10 @@
         if known.listing == listing {
             return false;
         }
-        if known.listing.born != listing.born || known.listing.address != listing.address {
+        if known.listing.born != listing.born
+            || known.listing.address != listing.address
+            || known.listing.release != listing.release
+        {
             let own = known.own;
             *known = Endpoint::new(listing, distance);
             known.own = own;
@@ -199,7 +212,11 @@
 
     /// Removes an endpoint that is gone.
     pub fn remove(&mut self, id: &EndpointId) -> bool {
-        self.endpoints.remove(id).is_some()
+        let removed = self.endpoints.remove(id);
+        if let Some(endpoint) = &removed {
+            self.rollouts.record_removal(&endpoint.listing);
+        }
+        removed.is_some()
     }
 
     /// Sets the services whose endpoints in this zone are used through this node only.
@@ -246,12 +263,16 @@
         self.endpoints.values().any(|e| e.listing.service == *service && !e.is_leaving())
     }
 
-    /// Free and total slots of a service.
+    /// Free and total slots of a service, for ordinary requests.
     #[must_use]
     pub fn capacity(&self, service: &ServiceId, now: Time) -> Capacity {
         let mut capacity = Capacity::default();
+        let rollout = self.rollouts.view(service);
         for endpoint in self.endpoints.values() {
-            if endpoint.listing.service != *service || endpoint.is_leaving() {
+            if endpoint.listing.service != *service
+                || endpoint.is_leaving()
+                || rollout.role(&endpoint.listing, now) != Role::Ordinary
+            {
                 continue;
             }
             let in_flight = endpoint.load(self.usage_ttl, now).in_flight;
@@ -268,9 +289,31 @@
     }
 
     /// Endpoint with the least expected time to a first response, among those with capacity.
+    ///
+    /// A canary request gets a candidate endpoint if one has capacity, else one of those that
+    /// ordinary requests use.
     #[must_use]
     pub fn select(&self, query: &Query<'_>, now: Time) -> Option<Choice> {
-        let usable = self.endpoints.values().filter(|e| self.has_capacity(e, query, now));
+        let canaries = self.canaries(query, now);
+        let rollout = self.rollouts.view(query.service);
+        let is_canary = |e: &Endpoint| canaries.contains(&e.listing.id);
+        let is_ordinary = |e: &Endpoint| rollout.role(&e.listing, now) == Role::Ordinary;
+        let canary =
+            if canaries.is_empty() { None } else { self.select_among(query, is_canary, now) };
+        canary.or_else(|| self.select_among(query, is_ordinary, now))
+    }
+
+    fn select_among(
+        &self,
+        query: &Query<'_>,
+        is_admitted: impl Fn(&Endpoint) -> bool,
+        now: Time,
+    ) -> Option<Choice> {
+        let usable = self
+            .endpoints
+            .values()
+            .filter(|e| e.listing.service == *query.service)
+            .filter(|e| is_admitted(e) && self.has_capacity(e, query, now));
         let mut best: Option<(f64, &Endpoint)> = None;
         let mut candidates = 0;
         for endpoint in usable {
@@ -504,13 +547,16 @@
         self.service_slots.get(service).map_or(0, |slots| slots.shortfall)
     }
 
-    /// Counts the slots of all services. Requests at endpoints that are gone are left out; they
-    /// have ended or will end soon.
+    /// Counts the slots of all services that ordinary requests use. Requests at endpoints that are
+    /// gone are left out; they have ended or will end soon.
     fn count_slots(&mut self, now: Time) {
         for slots in self.service_slots.values_mut() {
             (slots.slots, slots.own, slots.free) = (0, 0, 0);
         }
         for endpoint in self.endpoints.values() {
+            if self.rollouts.role(&endpoint.listing, now) != Role::Ordinary {
+                continue;
+            }
             let slots = self.service_slots.entry(endpoint.listing.service.clone()).or_default();
             slots.own += endpoint.own.in_flight;
             if !endpoint.is_leaving() {
--- a/crates/sched/src/fleet/cohort.rs
+++ b/crates/sched/src/fleet/cohort.rs
@@ -4,10 +4,25 @@
 //! that is known later than the endpoints which it names, and a fault that shows
 //! only under load and is hidden by spreading few requests over many endpoints.
 
-use super::Fleet;
-use crate::rollout::{Listed, Stage};
-use std::collections::{BTreeMap, BTreeSet};
-use units::{EndpointId, Release, ServiceId, Time};
+use super::{Fleet, Listing, Query, endpoint::Endpoint};
+use crate::rollout::{Listed, Stage, sample_probability};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use units::{EndpointId, Release, ServiceId, Time, ZoneId, score};
+
+/// Time for which a release that appears without an order gets no requests. Nodes learn of an order
+/// within a second of its write, and of an endpoint as early as that.
+const HOLD_BACK: Duration = Duration::from_secs(2);
+/// Time after the end of a rollout within which a release that is listed first counts as an old
+/// one: a node that starts reads old entries late.
+const OLD_ENTRIES_GRACE: Duration = Duration::from_secs(5);
+/// Failure rate at this node above which a candidate endpoint ranks behind the others: two failures
+/// in quick succession. Otherwise the fault of one endpoint would take all canary requests of a
+/// zone.
+const MAX_FAILURE_RATE: f64 = 0.25;
 
 /// Cohort of a request. It matters only while its service has a rollout.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -39,7 +54,7 @@
     #[must_use]
     pub fn sample_probability(&self) -> f64 {
         match self.stage {
-            Stage::Canary => crate::rollout::sample_probability(self.share),
+            Stage::Canary => sample_probability(self.share),
             Stage::Shift | Stage::Completed | Stage::Reverted => 0.0,
         }
     }
@@ -87,21 +102,215 @@
     }
 }
 
-/// Rollouts of all services.
+/// Candidate endpoints and the slots of the stable ones in one availability zone.
+#[derive(Default)]
+struct Zone<'a> {
+    candidates: Vec<(bool, Reverse<u64>, &'a Endpoint)>,
+    stable_slots: u32,
+}
+
+impl<'a> Zone<'a> {
+    /// The first endpoints in rank whose slots are `ratio` of the stable ones, to the nearest number,
+    /// and at least one.
+    fn loaded(mut self, ratio: f64) -> impl Iterator<Item = &'a EndpointId> {
+        self.candidates.sort_by_key(|(fails, rank, _)| (*fails, *rank));
+        let wanted = f64::from(self.stable_slots) * ratio;
+        let mut slots = 0.0;
+        let loaded =
+            self.candidates.into_iter().enumerate().take_while(move |(index, (_, _, e))| {
+                let own = f64::from(e.slots());
+                slots += own;
+                *index == 0 || slots - own / 2.0 <= wanted
+            });
+        loaded.map(|(_, (_, _, endpoint))| &endpoint.listing.id)
+    }
+}
+
+impl Fleet {
+    /// Candidate endpoints that a query may use besides those of ordinary requests.
+    ///
+    /// They are few, so that each carries as much load as a stable endpoint.
+    pub(super) fn canaries(&self, query: &Query<'_>, now: Time) -> BTreeSet<&EndpointId> {
+        let view = self.rollouts.view(query.service);
+        let Some(policy) = view.active.map(|active| &active.policy) else { return BTreeSet::new() };
+        if query.cohort != Cohort::Candidate || policy.stage != Stage::Canary {
+            return BTreeSet::new();
+        }
+        let mut zones: BTreeMap<&ZoneId, Zone<'_>> = BTreeMap::new();
+        let endpoints = self.endpoints.values().filter(|e| e.listing.service == *query.service);
+        for endpoint in endpoints.filter(|endpoint| !endpoint.is_leaving()) {
+            let listing = &endpoint.listing;
+            let zone = zones.entry(&listing.zone).or_default();
+            match view.role(listing, now) {
+                Role::Ordinary => zone.stable_slots += endpoint.slots(),
+                Role::Canary => {
+                    let rank = score(listing.id.as_str(), policy.candidate.as_str());
+                    let fails = endpoint.failure_rate(now) > MAX_FAILURE_RATE;
+                    zone.candidates.push((fails, Reverse(rank), endpoint));
+                }
+                Role::Closed => {}
+            }
+        }
+        let sampled = policy.sample_probability();
+        let ratio = sampled / (1.0 - sampled).max(f64::EPSILON);
+        zones.into_values().flat_map(|zone| zone.loaded(ratio)).collect()
+    }
+}
+
+/// What an endpoint is used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Role {
+    /// Ordinary requests.
+    Ordinary,
+    /// Canary requests.
+    Canary,
+    /// Nothing.
+    Closed,
+}
+
+/// Rollouts of all services, and the releases listed.
 #[derive(Debug, Default)]
 pub(super) struct Rollouts {
-    policies: BTreeMap<ServiceId, Policy>,
+    active: BTreeMap<ServiceId, Active>,
+    releases: BTreeMap<ServiceId, Releases>,
+}
+
+#[derive(Debug)]
+struct Active {
+    policy: Policy,
+    /// When its stage became `Completed`.
+    completed_at: Option<Time>,
+}
+
+/// Listed releases of a service.
+#[derive(Debug, Default)]
+struct Releases {
+    listed: BTreeMap<Option<Release>, Known>,
+    /// Release whose last endpoint was the last one of the service.
+    last: Option<Option<Release>>,
+}
+
+#[derive(Debug)]
+struct Known {
+    endpoints: u32,
+    /// When its first endpoint was listed.
+    since: Time,
+    /// Whether the service had another release at that time.
+    is_later: bool,
 }
 
 impl Rollouts {
-    fn set(&mut self, service: &ServiceId, policy: Option<Policy>, _now: Time) {
-        match policy {
-            Some(policy) => self.policies.insert(service.clone(), policy),
-            None => self.policies.remove(service),
+    fn set(&mut self, service: &ServiceId, policy: Option<Policy>, now: Time) {
+        let Some(policy) = policy else {
+            self.active.remove(service);
+            return;
         };
+        let known = self.active.get(service).filter(|a| a.policy.candidate == policy.candidate);
+        let completed_at = (policy.stage == Stage::Completed)
+            .then(|| known.and_then(|active| active.completed_at).unwrap_or(now));
+        self.active.insert(service.clone(), Active { policy, completed_at });
     }
 
     fn policy(&self, service: &ServiceId) -> Option<&Policy> {
-        self.policies.get(service)
+        self.active.get(service).map(|active| &active.policy)
+    }
+
+    /// Records a listing that replaces `before`.
+    pub(super) fn record_listing(
+        &mut self,
+        before: Option<&Listing>,
+        listing: &Listing,
+        now: Time,
+    ) {
+        let is_same = |b: &&Listing| b.service == listing.service && b.release == listing.release;
+        if before.filter(is_same).is_some() {
+            return;
+        }
+        self.releases.entry(listing.service.clone()).or_default().add(&listing.release, now);
+        if let Some(before) = before {
+            self.record_removal(before);
+        }
+    }
+
+    /// Records a listing that is gone.
+    pub(super) fn record_removal(&mut self, listing: &Listing) {
+        if let Some(releases) = self.releases.get_mut(&listing.service) {
+            releases.subtract(&listing.release);
+        }
+    }
+
+    /// Rollout of one service.
+    pub(super) fn view(&self, service: &ServiceId) -> View<'_> {
+        View { active: self.active.get(service), releases: self.releases.get(service) }
+    }
+
+    /// What an endpoint is used for.
+    pub(super) fn role(&self, listing: &Listing, now: Time) -> Role {
+        if listing.release.is_none() && self.active.is_empty() {
+            return Role::Ordinary;
+        }
+        self.view(&listing.service).role(listing, now)
+    }
+}
+
+impl Releases {
+    fn add(&mut self, release: &Option<Release>, now: Time) {
+        let is_later = if self.listed.is_empty() {
+            self.last.as_ref().is_some_and(|last| last != release)
+        } else {
+            true
+        };
+        let known = self.listed.entry(release.clone());
+        known.or_insert(Known { endpoints: 0, since: now, is_later }).endpoints += 1;
+    }
+
+    fn subtract(&mut self, release: &Option<Release>) {
+        let Some(known) = self.listed.get_mut(release) else { return };
+        known.endpoints = known.endpoints.saturating_sub(1);
+        if known.endpoints == 0 {
+            self.listed.remove(release);
+            self.last = self.listed.is_empty().then(|| release.clone());
+        }
+    }
+}
+
+/// Rollout of one service.
+#[derive(Clone, Copy)]
+pub(super) struct View<'a> {
+    active: Option<&'a Active>,
+    releases: Option<&'a Releases>,
+}
+
+impl View<'_> {
+    /// What an endpoint of the service is used for.
+    pub(super) fn role(&self, listing: &Listing, now: Time) -> Role {
+        let Some(Active { policy, completed_at }) = self.active else {
+            return self.unordered(listing, now);
+        };
+        let is_candidate = listing.release.as_ref() == Some(&policy.candidate);
+        let is_excluded = listing.release.as_ref().is_some_and(|r| policy.excluded.contains(r));
+        match (policy.stage, is_candidate) {
+            (Stage::Canary, true) => Role::Canary,
+            (Stage::Shift | Stage::Completed, true) => Role::Ordinary,
+            (Stage::Shift, false) | (Stage::Reverted, true) => Role::Closed,
+            (_, false) if is_excluded => Role::Closed,
+            (Stage::Canary | Stage::Reverted, false) => self.unordered(listing, now),
+            (Stage::Completed, false) => {
+                let end = completed_at.unwrap_or(now) + OLD_ENTRIES_GRACE;
+                let is_old = self.known(listing).is_none_or(|known| known.since <= end);
+                if is_old { Role::Closed } else { self.unordered(listing, now) }
+            }
+        }
+    }
+
+    fn known(&self, listing: &Listing) -> Option<&Known> {
+        self.releases?.listed.get(&listing.release)
+    }
+
+    /// Use of an endpoint that no order names: none for a while after another release was there.
+    fn unordered(&self, listing: &Listing, now: Time) -> Role {
+        let is_held = listing.release.is_some()
+            && self.known(listing).is_some_and(|k| k.is_later && now.since(k.since) < HOLD_BACK);
+        if is_held { Role::Closed } else { Role::Ordinary }
     }
 }
--- a/crates/sched/src/rollout.rs
+++ b/crates/sched/src/rollout.rs
@@ -17,7 +17,7 @@
 
 pub use coordinator::{Rollout, Waiting};
 pub use judge::{Fault, Judge, Kind, Verdict, must_stop};
-pub use tally::{Answer, Histogram, OTHER_ROUTE, Report, Route, Tally};
+pub use tally::{Answer, Histogram, OTHER_ROUTE, Pending, Report, Route, Tally};
 
 use serde::{Deserialize, Serialize};
 use std::{fmt, time::Duration};
--- a/crates/sched/src/rollout/tally.rs
+++ b/crates/sched/src/rollout/tally.rs
@@ -91,6 +91,12 @@
         Some(units::time::duration(2f64.powf(f64::from(bucket + 1) / 2.0) / 1_000.0))
     }
 
+    fn subtract(&mut self, other: &Self) {
+        for (rest, count) in self.0.iter_mut().zip(other.0) {
+            *rest = rest.saturating_sub(count);
+        }
+    }
+
     fn add(&mut self, other: &Self) {
         for (sum, count) in self.0.iter_mut().zip(other.0) {
             *sum = sum.saturating_add(count);
@@ -117,6 +123,8 @@
     pub failures: u32,
     /// Latencies of the others.
     pub latency: Histogram,
+    /// Ages of the requests in flight; not cumulative.
+    pub pending: Histogram,
 }
 
 impl Tally {
@@ -135,6 +143,14 @@
         self.answers = self.answers.saturating_add(other.answers);
         self.failures = self.failures.saturating_add(other.failures);
         self.latency.add(&other.latency);
+        self.pending.add(&other.pending);
+    }
+
+    /// Takes earlier responses out.
+    fn subtract(&mut self, other: &Self) {
+        self.answers = self.answers.saturating_sub(other.answers);
+        self.failures = self.failures.saturating_sub(other.failures);
+        self.latency.subtract(&other.latency);
     }
 }
 
@@ -156,6 +172,13 @@
         sum
     }
 
+    /// Takes earlier responses of the candidate out. Those of the stable release stay.
+    pub(super) fn subtract_candidate(&mut self, earlier: &Self) {
+        for (group, tally) in &earlier.candidate {
+            self.candidate.entry(*group).or_default().subtract(tally);
+        }
+    }
+
     /// Adds the counts of another node.
     pub fn add(&mut self, other: &Self) {
         self.stable.add(&other.stable);
@@ -179,6 +202,19 @@
     pub latency: Option<Duration>,
 }
 
+/// Request in flight.
+#[derive(Debug, Clone, Copy)]
+pub struct Pending<'a> {
+    /// Its route.
+    pub route: u32,
+    /// Endpoint to which it was sent.
+    pub endpoint: &'a EndpointId,
+    /// Release of the endpoint, as of the dispatch.
+    pub cohort: Cohort,
+    /// Time since the dispatch, until the first event of a stream; zero after that.
+    pub age: Duration,
+}
+
 /// Cumulative counts of one node since it started.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -209,14 +245,38 @@
 
     /// Counts a response on a route.
     pub fn record(&mut self, route: u32, answer: &Answer<'_>) {
+        self.tally(route, answer.cohort, answer.endpoint).record(answer.failed, answer.latency);
+    }
+
+    /// Replaces the ages of the requests in flight and the number of those at stable endpoints.
+    pub fn set_pending<'a>(&mut self, requests: impl IntoIterator<Item = Pending<'a>>) {
+        self.clear_pending();
+        for request in requests {
+            if request.cohort != Cohort::Candidate {
+                self.running_at_stable = self.running_at_stable.saturating_add(1);
+            }
+            let tally = self.tally(request.route, request.cohort, request.endpoint);
+            tally.pending.record(request.age);
+        }
+    }
+
+    /// Removes all requests in flight.
+    pub(super) fn clear_pending(&mut self) {
+        self.running_at_stable = 0;
+        for route in self.routes.values_mut() {
+            route.stable.pending = Histogram::default();
+            route.candidate.values_mut().for_each(|tally| tally.pending = Histogram::default());
+        }
+    }
+
+    fn tally(&mut self, route: u32, cohort: Cohort, endpoint: &EndpointId) -> &mut Tally {
         let is_known = self.routes.contains_key(&route) || self.routes.len() < MAX_ROUTES;
         let route = if is_known { route } else { OTHER_ROUTE };
         let counts = self.routes.entry(route).or_default();
-        let tally = match answer.cohort {
-            Cohort::Candidate => counts.candidate.entry(group(answer.endpoint)).or_default(),
+        match cohort {
+            Cohort::Candidate => counts.candidate.entry(group(endpoint)).or_default(),
             Cohort::Any | Cohort::Stable => &mut counts.stable,
-        };
-        tally.record(answer.failed, answer.latency);
+        }
     }
 }
 
