--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -223,8 +223,8 @@
     load: Option<Load>,
     /// Identifier of its permit, if the owner of the endpoint's cell issued one.
     permit: Option<RequestId>,
-    /// Route of the request, as a short hash, and its deadline, once it is sent.
-    sent: Option<(u32, Time)>,
+    /// Deadline of the request, once it is sent.
+    deadline: Option<Time>,
     /// Counts the request, if the deployment has rollouts.
     ticket: Option<Ticket>,
     /// Selected endpoint.
@@ -253,7 +253,7 @@
             events: 0,
             load: None,
             permit: None,
-            sent: None,
+            deadline: None,
             ticket,
             choice,
             acquired: now,
@@ -311,6 +311,9 @@
         } else {
             self.has_response = true;
             self.first_event = now;
+            if let Some(ticket) = &self.ticket {
+                ticket.record_response();
+            }
             match self.permit {
                 None => fleet.record_first_response(&self.choice.endpoint, self.size),
                 Some(request) => {
@@ -324,7 +327,10 @@
 
     /// Records that a request of a route is sent.
     pub fn record_sent(&mut self, route: &str, deadline: Time) {
-        self.sent = Some((short_hash(route), deadline));
+        self.deadline = Some(deadline);
+        if let Some(ticket) = &self.ticket {
+            ticket.record_sent(short_hash(route));
+        }
     }
 
     /// Whether the endpoint must not be used any more, by a rollout that has ended since it was chosen.
@@ -341,7 +347,7 @@
 
     /// Counts the response for a rollout.
     fn count(&self, now: Time) {
-        let (Some(ticket), Some((route, deadline))) = (&self.ticket, self.sent) else { return };
+        let (Some(ticket), Some(deadline)) = (&self.ticket, self.deadline) else { return };
         let gaps = self.events.saturating_sub(1);
         let response = Response {
             outcome: self.outcome,
@@ -349,7 +355,7 @@
             first: self.first_event.since(self.acquired),
             gap: self.last_event.since(self.first_event).checked_div(gaps),
         };
-        ticket.record(route, &response);
+        ticket.record(&response);
     }
 
     /// Whether an event has arrived.
--- a/crates/relay/src/rollout/counts.rs
+++ b/crates/relay/src/rollout/counts.rs
@@ -3,16 +3,19 @@
 //! Failure: a bad release while the coordinator or the network is away. The node
 //! stops using it by itself once its own counts show an excess of bad responses.
 
-use super::{apply_policy, is_enabled};
+use super::{
+    apply_policy, is_enabled,
+    orders::{Entry, Running},
+};
 use crate::blackboard::Blackboard;
 use codes::Event;
 use sched::{
-    fleet::{Cohort, Outcome},
-    rollout::{Answer, OrderId, Stage, must_stop},
+    fleet::{Cohort, Fleet, Outcome},
+    rollout::{Answer, Stage, must_stop},
 };
 use slog::warn;
 use std::{rc::Rc, time::Duration};
-use units::{EndpointId, Release, ServiceId, Time};
+use units::{EndpointId, ServiceId, Time};
 
 /// Time before the limit of an order at which resumable streams leave endpoints of the old release.
 const STREAM_MARGIN: Duration = Duration::from_secs(1);
@@ -24,12 +27,7 @@
 #[derive(Debug)]
 pub struct Ticket {
     board: Rc<Blackboard>,
-    service: ServiceId,
-    endpoint: EndpointId,
-    release: Option<Release>,
-    /// Order that was known when the request was dispatched.
-    order: Option<OrderId>,
-    cohort: Cohort,
+    number: u64,
 }
 
 impl Ticket {
@@ -37,7 +35,7 @@
     #[must_use]
     pub fn new(
         board: &Rc<Blackboard>,
-        fleet: &sched::fleet::Fleet,
+        fleet: &Fleet,
         service: &ServiceId,
         endpoint: &EndpointId,
     ) -> Option<Self> {
@@ -47,89 +45,113 @@
         let release = fleet.listing(endpoint).and_then(|listing| listing.release.clone());
         let mut rollouts = board.rollouts.borrow_mut();
         let order = rollouts.get(service).map(|entry| entry.order.id);
-        let running = rollouts.running.entry(service.clone()).or_default();
-        *running.entry(release.clone()).or_default() += 1;
-        drop(rollouts);
-        Some(Self {
-            board: Rc::clone(board),
+        let number = rollouts.start(Running {
             service: service.clone(),
             endpoint: endpoint.clone(),
             release,
             order,
-            cohort: fleet.cohort(endpoint),
-        })
+            since: board.now(),
+            route: None,
+            has_response: false,
+        });
+        Some(Self { board: Rc::clone(board), number })
+    }
+
+    /// Records that this node sends the request, which is of a route.
+    pub fn record_sent(&self, route: u32) {
+        if let Some(running) = self.board.rollouts.borrow_mut().running_mut(self.number) {
+            running.route = Some(route);
+        }
+    }
+
+    /// Records the first event, or the end of a plain call.
+    pub fn record_response(&self) {
+        if let Some(running) = self.board.rollouts.borrow_mut().running_mut(self.number) {
+            running.has_response = true;
+        }
+    }
+
+    /// Value for the request and the rollout of its service.
+    fn with_entry<T>(&self, value: impl FnOnce(&Running, &Entry) -> Option<T>) -> Option<T> {
+        let rollouts = self.board.rollouts.borrow();
+        let running = rollouts.running(self.number)?;
+        value(running, rollouts.get(&running.service)?)
     }
 
     /// Whether the request must not be sent to its endpoint any more, since the stage has changed
     /// between the choice and now.
     #[must_use]
     pub fn is_void(&self) -> bool {
-        let rollouts = self.board.rollouts.borrow();
-        rollouts.get(&self.service).is_some_and(|entry| {
-            let is_candidate = self.release.as_ref() == Some(&entry.order.to);
-            match entry.effective_stage() {
-                Stage::Completed => !is_candidate,
-                Stage::Reverted => is_candidate,
+        let is_void = self.with_entry(|running, entry| {
+            let cohort = running.cohort(&entry.order.to);
+            Some(match entry.effective_stage() {
+                Stage::Completed => cohort == Cohort::Stable,
+                Stage::Reverted => cohort == Cohort::Candidate,
                 Stage::Canary | Stage::Shift => false,
-            }
-        })
+            })
+        });
+        is_void == Some(true)
     }
 
     /// Time at which a resumable stream leaves its endpoint, if that has another release than the one
     /// that new requests use.
     #[must_use]
     pub fn leave_at(&self) -> Option<Time> {
-        let rollouts = self.board.rollouts.borrow();
-        let entry = rollouts.get(&self.service)?;
-        let is_stable = self.release.as_ref() != Some(&entry.order.to);
-        let leaves = is_stable && entry.effective_stage() == Stage::Shift;
-        leaves.then(|| entry.time_at(entry.order.limit.saturating_sub(STREAM_MARGIN)))
+        self.with_entry(|running, entry| {
+            let is_stable = running.cohort(&entry.order.to) == Cohort::Stable;
+            let leaves = is_stable && entry.effective_stage() == Stage::Shift;
+            leaves.then(|| entry.time_at(entry.order.limit.saturating_sub(STREAM_MARGIN)))
+        })
     }
 
-    /// Counts the response of a route.
-    pub fn record(&self, route: u32, response: &Response) {
+    /// Counts the response.
+    pub fn record(&self, response: &Response) {
         let Some((failed, latency)) = response.assess() else { return };
-        let answer = Answer { endpoint: &self.endpoint, cohort: self.cohort, failed, latency };
         let mut rollouts = self.board.rollouts.borrow_mut();
-        let Some(entry) = rollouts.get_mut(&self.service) else { return };
-        if entry.stage.is_final() || self.order != Some(entry.order.id) {
+        let Some(running) = rollouts.running(self.number).cloned() else { return };
+        let (Some(route), service) = (running.route, &running.service) else { return };
+        let Some(entry) = rollouts.get_mut(service) else { return };
+        if entry.stage.is_final() || running.order != Some(entry.order.id) {
             return;
         }
+        let cohort = running.cohort(&entry.order.to);
+        let answer = Answer { endpoint: &running.endpoint, cohort, failed, latency };
         entry.counts.record(route, &answer);
         entry.recent.record(route, &answer);
-        let fault = if entry.stopped { None } else { must_stop(&entry.recent) };
-        entry.stopped |= fault.is_some();
-        let (order, to, stage) = (entry.order.id, entry.order.to.clone(), entry.stage);
         drop(rollouts);
-        let cohort = if self.cohort == Cohort::Candidate { "candidate" } else { "stable" };
+        let cohort = if cohort == Cohort::Candidate { "candidate" } else { "stable" };
         let kind = if failed { "failed" } else { "served" };
         self.board.metrics.count("rollout_answer", &format!("{cohort}_{kind}"));
-        if let Some(fault) = fault {
-            warn!(self.board.log, "node stopped using a release"; Event::RolloutStopped,
-                "service" => %self.service, "order" => %order, "to" => %to, "stage" => %stage,
-                "fault" => %fault);
-            self.board.metrics.count("rollout", "stopped");
-            apply_policy(&self.board, &self.service);
+        if failed {
+            stop_if_bad(&self.board, service);
         }
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        let mut rollouts = self.board.rollouts.borrow_mut();
-        let Some(running) = rollouts.running.get_mut(&self.service) else { return };
-        if let Some(count) = running.get_mut(&self.release) {
-            *count = count.saturating_sub(1);
-            if *count == 0 {
-                running.remove(&self.release);
-            }
-        }
-        if running.is_empty() {
-            rollouts.running.remove(&self.service);
-        }
+        self.board.rollouts.borrow_mut().finish(self.number);
     }
 }
 
+/// Stops using the candidate of a service if this node's own counts show an excess of bad responses.
+pub fn stop_if_bad(board: &Blackboard, service: &ServiceId) {
+    let mut rollouts = board.rollouts.borrow_mut();
+    let entry = rollouts.get_mut(service);
+    let Some(entry) = entry.filter(|entry| !entry.stopped && !entry.stage.is_final()) else {
+        return;
+    };
+    let Some(fault) = must_stop(&entry.recent) else { return };
+    entry.stopped = true;
+    warn!(board.log, "node stopped using a release"; Event::RolloutStopped,
+        "service" => %service, "order" => %entry.order.id, "to" => %entry.order.to,
+        "stage" => %entry.stage, "fault" => %fault,
+        "age_ms" => crate::reply::millis(entry.age(board.now())));
+    drop(rollouts);
+    board.metrics.count("rollout", "stopped");
+    apply_policy(board, service);
+}
+
 /// How a request ended at an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Response {
--- a/crates/relay/src/rollout/messages.rs
+++ b/crates/relay/src/rollout/messages.rs
@@ -61,6 +61,8 @@
 /// Sends this node's counts of the open rollouts to their coordinators and standbys.
 pub fn send_counts(board: &Blackboard, socket: &UdpSocket) {
     for counts in current_counts(board) {
+        // Requests without a response for long count, too.
+        super::counts::stop_if_bad(board, &counts.service);
         let chosen = super::coordinator::chosen(board, &counts.service);
         if chosen.iter().any(|node| node.is_none()) {
             super::coordinator::record(board, counts.clone());
@@ -75,24 +77,17 @@
 /// This node's counts of the open rollouts.
 fn current_counts(board: &Blackboard) -> Vec<Counts> {
     let mut rollouts = board.rollouts.borrow_mut();
-    let services: Vec<ServiceId> =
-        rollouts.open().map(|entry| entry.order.service.clone()).collect();
-    let mut all = Vec::new();
-    for service in services {
-        let Some(entry) = rollouts.get(&service) else { continue };
-        let candidate = entry.order.to.clone();
-        let running_at_stable = rollouts.running_at_stable(&service, &candidate);
-        let Some(entry) = rollouts.get_mut(&service) else { continue };
+    rollouts.count_running(board.now());
+    let counts = rollouts.open_mut().map(|entry| {
         entry.counts.sequence = entry.counts.sequence.saturating_add(1);
-        entry.counts.running_at_stable = running_at_stable;
         // A node that has stopped on its own uses stable endpoints, as in `Canary`.
         entry.counts.stage = if entry.stopped { Stage::Canary } else { entry.stage };
-        all.push(Counts {
-            service,
+        Counts {
+            service: entry.order.service.clone(),
             from: board.settings.instance.clone(),
             incarnation: board.incarnation,
             report: entry.counts.clone(),
-        });
-    }
-    all
+        }
+    });
+    counts.collect()
 }
--- a/crates/relay/src/rollout/orders.rs
+++ b/crates/relay/src/rollout/orders.rs
@@ -5,12 +5,15 @@
 //! same order, the stage that takes precedence stays in force.
 
 use super::messages::Announcement;
-use sched::rollout::{Order, OrderId, Report, Stage};
+use sched::{
+    fleet::Cohort,
+    rollout::{Order, OrderId, Pending, Report, Stage},
+};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
-use units::{Release, ServiceId, Time, Version};
+use units::{EndpointId, Release, ServiceId, Time, Version};
 
 /// Maximum number of services with a rollout; the oldest one that has ended makes room.
 const MAX_ENTRIES: usize = 256;
@@ -151,8 +154,36 @@
 pub struct Rollouts {
     entries: BTreeMap<ServiceId, Entry>,
     unsent: BTreeSet<ServiceId>,
-    /// This node's requests in flight, by service and release.
-    pub running: BTreeMap<ServiceId, BTreeMap<Option<Release>, u32>>,
+    running: BTreeMap<u64, Running>,
+    next: u64,
+}
+
+/// Request at an endpoint.
+#[derive(Debug, Clone)]
+pub struct Running {
+    /// Service.
+    pub service: ServiceId,
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Release of the endpoint.
+    pub release: Option<Release>,
+    /// Order that was known when the request was dispatched.
+    pub order: Option<OrderId>,
+    /// Time of the dispatch.
+    pub since: Time,
+    /// Route, as a short hash, once this node has sent the request.
+    pub route: Option<u32>,
+    /// Whether an event has arrived.
+    pub has_response: bool,
+}
+
+impl Running {
+    /// Cohort of the endpoint in a rollout to a release.
+    #[must_use]
+    pub fn cohort(&self, candidate: &Release) -> Cohort {
+        let is_candidate = self.release.as_ref() == Some(candidate);
+        if is_candidate { Cohort::Candidate } else { Cohort::Stable }
+    }
 }
 
 impl Rollouts {
@@ -177,6 +208,11 @@
         self.entries.values().filter(|entry| !entry.stage.is_final())
     }
 
+    /// Same, to update them.
+    pub fn open_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.entries.values_mut().filter(|entry| !entry.stage.is_final())
+    }
+
     /// Services whose state the store is not known to hold.
     #[must_use]
     pub fn unsaved(&self) -> Vec<ServiceId> {
@@ -274,10 +310,51 @@
         entries.map(|entry| entry.announcement(now)).collect()
     }
 
-    /// Number of this node's requests in flight at endpoints of other releases than `candidate`.
+    /// Adds a request that is dispatched, and returns its number.
+    pub fn start(&mut self, request: Running) -> u64 {
+        self.next += 1;
+        self.running.insert(self.next, request);
+        self.next
+    }
+
+    /// Request in flight.
     #[must_use]
-    pub fn running_at_stable(&self, service: &ServiceId, candidate: &Release) -> u32 {
-        let running = self.running.get(service).into_iter().flatten();
-        running.filter(|(release, _)| release.as_ref() != Some(candidate)).map(|(_, n)| n).sum()
+    pub fn running(&self, number: u64) -> Option<&Running> {
+        self.running.get(&number)
+    }
+
+    /// Request in flight.
+    pub fn running_mut(&mut self, number: u64) -> Option<&mut Running> {
+        self.running.get_mut(&number)
+    }
+
+    /// Removes a request that has ended.
+    pub fn finish(&mut self, number: u64) {
+        self.running.remove(&number);
+    }
+
+    /// Updates the counts of the open rollouts by the requests in flight.
+    pub fn count_running(&mut self, now: Time) {
+        let Self { entries, running, .. } = self;
+        for entry in entries.values_mut().filter(|entry| !entry.stage.is_final()) {
+            let (service, to) = (&entry.order.service, &entry.order.to);
+            let here = || running.values().filter(move |request| request.service == *service);
+            let pending = |request: &'_ Running| {
+                let age =
+                    if request.has_response { Duration::ZERO } else { now.since(request.since) };
+                Some((request.route?, request.cohort(to), age))
+            };
+            for report in [&mut entry.counts, &mut entry.recent] {
+                report.set_pending(here().filter_map(|request| {
+                    let (route, cohort, age) = pending(request)?;
+                    Some(Pending { route, endpoint: &request.endpoint, cohort, age })
+                }));
+                // Requests that another node sends by a permit of this one have no route here.
+                let granted = here().filter(|r| r.route.is_none());
+                let at_stable = granted.filter(|r| r.cohort(to) == Cohort::Stable).count();
+                let at_stable = u32::try_from(at_stable).unwrap_or(u32::MAX);
+                report.running_at_stable = report.running_at_stable.saturating_add(at_stable);
+            }
+        }
     }
 }
