--- a/crates/relay/src/rollout/coordinator.rs
+++ b/crates/relay/src/rollout/coordinator.rs
@@ -21,7 +21,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a node without an open rollout checks for one.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which a node collects counts before it decides: two reports of each node.
+/// Time for which a node collects counts before it decides: at least one report of each node.
 const COLLECTING_TIME: Duration = Duration::from_millis(600);
 /// Interval between log lines of an open rollout.
 const LOG_INTERVAL: Duration = Duration::from_secs(2);
--- a/crates/relay/src/rollout/messages.rs
+++ b/crates/relay/src/rollout/messages.rs
@@ -1,12 +1,21 @@
 //! Datagrams about rollouts.
 
-use super::is_enabled;
+use super::{
+    coordinator,
+    counts::stop_if_bad,
+    is_enabled,
+    orders::{Entry, Sent},
+};
 use crate::{blackboard::Blackboard, digest::Datagram, peers};
 use sched::rollout::{Order, Report, Stage};
 use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
 use tokio::net::UdpSocket;
-use units::{InstanceId, Release, ServiceId};
+use units::{InstanceId, Release, ServiceId, Time};
 
+/// Interval at which counts are sent that have not changed, in case a datagram was lost. A node that
+/// becomes the coordinator collects counts for longer than this.
+const UNCHANGED_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of announcements in a datagram; one takes some 80 bytes.
 const MAX_ANNOUNCEMENTS: usize = 12;
 
@@ -58,36 +67,46 @@
     chunks.map(|chunk| Datagram::Rollouts(chunk.into())).collect()
 }
 
-/// Sends this node's counts of the open rollouts to their coordinators and standbys.
+/// Sends this node's counts of the open rollouts to their coordinators and standbys, unless they have
+/// them.
 pub fn send_counts(board: &Blackboard, socket: &UdpSocket) {
-    for counts in current_counts(board) {
+    let now = board.now();
+    board.rollouts.borrow_mut().count_running(now);
+    let open = board.rollouts.borrow();
+    let services: Vec<ServiceId> = open.open().map(|entry| entry.order.service.clone()).collect();
+    drop(open);
+    for service in services {
         // Requests without a response for long count, too.
-        super::counts::stop_if_bad(board, &counts.service);
-        let chosen = super::coordinator::chosen(board, &counts.service);
-        if chosen.iter().any(|node| node.is_none()) {
-            super::coordinator::record(board, counts.clone());
+        stop_if_bad(board, &service);
+        let to = coordinator::chosen(board, &service);
+        let due = board.rollouts.borrow_mut().get_mut(&service).and_then(|e| due(e, &to, now));
+        let Some(report) = due else { continue };
+        let from = board.settings.instance.clone();
+        let counts = Counts { service, from, incarnation: board.incarnation, report };
+        let others: Vec<SocketAddr> = to.iter().copied().flatten().collect();
+        if others.len() < to.len() {
+            coordinator::record(board, counts.clone());
         }
-        let others: Vec<_> = chosen.into_iter().flatten().collect();
         if !others.is_empty() {
             peers::send_to(board, socket, &Datagram::Counts(Box::new(counts)), &others);
         }
     }
 }
 
-/// This node's counts of the open rollouts.
-fn current_counts(board: &Blackboard) -> Vec<Counts> {
-    let mut rollouts = board.rollouts.borrow_mut();
-    rollouts.count_running(board.now());
-    let counts = rollouts.open_mut().map(|entry| {
-        entry.counts.sequence = entry.counts.sequence.saturating_add(1);
-        // A node that has stopped on its own uses stable endpoints, as in `Canary`.
-        entry.counts.stage = if entry.stopped { Stage::Canary } else { entry.stage };
-        Counts {
-            service: entry.order.service.clone(),
-            from: board.settings.instance.clone(),
-            incarnation: board.incarnation,
-            report: entry.counts.clone(),
+/// Report that is to be sent now, if any. Counts that have not changed are sent less often: in a large
+/// cluster, most nodes have no request of the service in an interval.
+fn due(entry: &mut Entry, to: &[Option<SocketAddr>], now: Time) -> Option<Report> {
+    let mut report = entry.counts.clone();
+    // A node that has stopped on its own uses stable endpoints, as in `Canary`.
+    report.stage = if entry.stopped { Stage::Canary } else { entry.stage };
+    if let Some(sent) = &entry.sent {
+        report.sequence = sent.report.sequence;
+        let is_known = sent.report == report && sent.to == to;
+        if is_known && now.since(sent.at) < UNCHANGED_INTERVAL {
+            return None;
         }
-    });
-    counts.collect()
+    }
+    report.sequence = report.sequence.saturating_add(1);
+    entry.sent = Some(Sent { report: report.clone(), to: to.to_vec(), at: now });
+    Some(report)
 }
--- a/crates/relay/src/rollout/orders.rs
+++ b/crates/relay/src/rollout/orders.rs
@@ -11,6 +11,7 @@
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 use units::{EndpointId, Release, ServiceId, Time, Version};
@@ -53,6 +54,17 @@
     }
 }
 
+/// Report that was sent.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    /// Report.
+    pub report: Report,
+    /// Coordinator and standby; none stands for this node.
+    pub to: Vec<Option<SocketAddr>>,
+    /// Time.
+    pub at: Time,
+}
+
 /// Rollout of a service, as this node knows it.
 #[derive(Debug, Clone)]
 pub struct Entry {
@@ -72,6 +84,8 @@
     pub counts: Report,
     /// Same, but those of the candidate only since the stage in force.
     pub recent: Report,
+    /// Last report that was sent, to whom and when.
+    pub sent: Option<Sent>,
     /// Age of the order at `known_at`.
     age: Duration,
     known_at: Time,
@@ -90,6 +104,7 @@
             saved: None,
             counts: report.clone(),
             recent: report,
+            sent: None,
             age,
             known_at: now,
             changed_at: now,
@@ -208,11 +223,6 @@
         self.entries.values().filter(|entry| !entry.stage.is_final())
     }
 
-    /// Same, to update them.
-    pub fn open_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
-        self.entries.values_mut().filter(|entry| !entry.stage.is_final())
-    }
-
     /// Services whose state the store is not known to hold.
     #[must_use]
     pub fn unsaved(&self) -> Vec<ServiceId> {
