--- a/crates/sched/tests/long_calls.rs
+++ b/crates/sched/tests/long_calls.rs
@@ -9,7 +9,7 @@
     Pcg64,
     rand_core::{RngCore, SeedableRng},
 };
-use sched::fleet::{Distance, Fleet, Listing, Outcome, Query, Size, Usage};
+use sched::fleet::{Cohort, Distance, Fleet, Listing, Outcome, Query, Size, Usage};
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
@@ -61,6 +61,7 @@
             slots: SLOTS,
             leaving: false,
             born: None,
+            release: None,
         };
         let distance = if number == zone { Distance::SameZone } else { Distance::SameRegion };
         fleet.upsert(listing, distance, Time::ZERO);
@@ -106,6 +107,7 @@
                     max_connections: u32::MAX,
                     target_gap: None,
                     streamed: false,
+                    cohort: Cohort::Any,
                 };
                 let Some(choice) = decider.fleet.select(&query, at(now)) else { break };
                 decider.fleet.start(&choice.endpoint, SIZE);
