--- a/crates/fake-host/src/lib.rs
+++ b/crates/fake-host/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use self::{
     caller::{Connection, Request, Response},
-    node::Node,
+    node::{Limits, Node},
     store::Store,
     testbed::Testbed,
     worker::{Fault, Worker},
--- a/crates/fake-host/src/node.rs
+++ b/crates/fake-host/src/node.rs
@@ -33,6 +33,21 @@
     readers: Vec<JoinHandle<()>>,
 }
 
+/// Limits in a node's settings file.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Memory of the machine, in megabytes.
+    pub memory_mb: u64,
+    /// File descriptors of the process.
+    pub max_fds: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 100, max_fds: 1_000 }
+    }
+}
+
 /// Lines written by the process, across restarts.
 type Lines = Arc<Mutex<Vec<String>>>;
 
@@ -55,6 +70,21 @@
     /// # Errors
     /// The program cannot be started.
     pub fn start(program: &Path, name: &str, zone: &str, store: SocketAddr) -> Result<Self> {
+        Self::start_with(program, name, zone, store, Limits::default())
+    }
+
+    /// Starts a process with other limits in its settings file.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start_with(
+        program: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        limits: Limits,
+    ) -> Result<Self> {
+        let Limits { memory_mb, max_fds } = limits;
         let ip = crate::unused_address();
         let [callers, readiness, metrics, peers] = free_ports(ip)?;
         let directory = tempfile::tempdir()?;
@@ -73,8 +103,8 @@
 frontend = "{ip}:{callers}"
 readiness = "{ip}:{readiness}"
 [limits]
-memory_mb = 100
-max_fds = 1000
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 [bounds]
 retry_ratio = 0.2
 retry_window_s = 10
@@ -125,6 +155,26 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Largest resident set of the process so far, in bytes.
+    ///
+    /// # Errors
+    /// The process has ended, or its status cannot be read.
+    pub fn peak_resident(&self) -> Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes: u64 = kilobytes.context("the status has no resident set")?.parse()?;
+        Ok(kilobytes * 1_024)
+    }
+
+    /// Open file descriptors of the process.
+    ///
+    /// # Errors
+    /// The process has ended, or its descriptors cannot be listed.
+    pub fn descriptors(&self) -> Result<usize> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+
     /// Waits for the process to end and returns its exit code; `None` after a signal.
     ///
     /// # Errors
--- a/crates/fake-host/src/testbed.rs
+++ b/crates/fake-host/src/testbed.rs
@@ -1,6 +1,6 @@
 //! A store, workers and the operator's configuration, ready for nodes.
 
-use crate::{Node, Request, Store, Worker};
+use crate::{Limits, Node, Request, Store, Worker};
 use anyhow::{Result, bail};
 use http::StatusCode;
 use serde_json::{Value, json};
@@ -110,7 +110,20 @@
     /// # Errors
     /// The node does not start or does not become ready.
     pub async fn start_node(&self, program: &Path, name: &str) -> Result<Node> {
-        let node = Node::start(program, name, "z1", self.store.address)?;
+        self.start_node_with(program, name, Limits::default()).await
+    }
+
+    /// Starts a node with other limits in its settings file and waits until it is ready.
+    ///
+    /// # Errors
+    /// The node does not start or does not become ready.
+    pub async fn start_node_with(
+        &self,
+        program: &Path,
+        name: &str,
+        limits: Limits,
+    ) -> Result<Node> {
+        let node = Node::start_with(program, name, "z1", self.store.address, limits)?;
         wait_for_status(&node, StatusCode::OK).await?;
         Ok(node)
     }
--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -111,6 +111,8 @@
     rejected: BTreeSet<String>,
     events: u64,
     pause: Duration,
+    /// Bytes that are appended to the data of each event.
+    event_padding: usize,
     /// Time that a plain request takes.
     work: Duration,
     /// Bytes that are appended to plain responses.
@@ -168,6 +170,7 @@
             rejected: BTreeSet::new(),
             events: 5,
             pause: Duration::from_millis(5),
+            event_padding: 0,
             work: Duration::ZERO,
             padding: 0,
             deadly_part: None,
@@ -207,6 +210,11 @@
         state.pause = pause;
     }
 
+    /// Sets the number of bytes that are appended to the data of each event.
+    pub fn set_event_padding(&self, padding: usize) {
+        self.state.lock().event_padding = padding;
+    }
+
     /// Sets the time that a plain request takes.
     pub fn set_work(&self, work: Duration) {
         self.state.lock().work = work;
@@ -486,9 +494,9 @@
     after: u64,
     fault: Fault,
 ) -> Result<bool> {
-    let (count, pause, unframed) = {
+    let (count, pause, unframed, padding) = {
         let state = state.lock();
-        (state.events, state.pause, state.unframed)
+        (state.events, state.pause, state.unframed, "x".repeat(state.event_padding))
     };
     let framing = if unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
     let kind = "Content-Type: text/event-stream\r\n";
@@ -499,7 +507,7 @@
     };
     for number in after + 1..=count {
         tokio::time::sleep(pause).await;
-        let event = format!("id: {number}\ndata: token {number}\n\n");
+        let event = format!("id: {number}\ndata: token {number}{padding}\n\n");
         if matches!(fault, Fault::SilentAfter(last) if number > last) {
             // Ends when the caller disconnects.
             stream.read_u8().await?;
