--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -61,6 +61,10 @@
     AttemptFailed = 206;
     /// The caller disconnected before the response was complete.
     CallerLeft = 207;
+    /// A caller's connection was closed: it made no progress, or memory or descriptors were short.
+    ConnectionClosed = 208;
+    /// Memory for a response did not become free in time.
+    MemoryShort = 209;
     /// An endpoint's window was reduced: it is straggling, queueing or unreachable.
     WindowCut = 300;
     /// An endpoint responds in time again.
@@ -108,6 +112,8 @@
     /// A newer configuration is known to exist but did not arrive in time; requests are refused until
     /// it does.
     ConfigOverdue = 504;
+    /// The settings do not cover what a node may hold.
+    SettingsContradict = 505;
     /// The platform's store does not respond.
     StoreDown = 510;
     /// The platform's store responds again.
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     configuration::{Configuration, Overdue},
+    connections::Connections,
     dispatcher::Dispatcher,
     headers::Codec,
     holder::Permits,
@@ -137,6 +138,8 @@
     /// Number of requests that were queued at the last allocation of slots, or had arrived since the
     /// one before.
     pub demand: Cell<u32>,
+    /// Connections of callers.
+    pub connections: Connections,
     /// Connections to endpoints.
     pub pool: Pool,
     /// Requests in progress.
@@ -190,8 +193,9 @@
             outbox_ready: Notify::new(),
             demand: Cell::new(0),
             body_memory: memory::Pool::new(settings.memory / BODY_MEMORY_DIVISOR),
-            settings,
+            connections: Connections::default(),
             pool: Pool::new(),
+            settings,
             in_progress: Cell::new(0),
             exit_at: Cell::new(None),
             incarnation: unix_millis(),
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -107,13 +107,19 @@
 pub struct Limits {
     /// Largest body.
     pub max_body: Bytes,
-    /// Time for a request's body to arrive; the limit for its headers is fixed in [`crate::serve`].
+    /// Time for a request's head to arrive, and the same for its body.
     pub header_timeout: Duration,
+    /// Time for which a connection may be idle, and an unread response may make no progress.
+    pub idle_timeout: Duration,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_body: Bytes(4 << 20), header_timeout: Duration::from_secs(10) }
+        Self {
+            max_body: Bytes(4 << 20),
+            header_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(75),
+        }
     }
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::{
     admission,
     blackboard::{Blackboard, Phase},
+    connections::Entry,
     dispatcher::{self, Slot},
     headers::Outbound,
     history::{Failure, History},
@@ -24,6 +25,7 @@
 use codes::{Code, Event, Executed};
 use futures_util::FutureExt;
 use http::{HeaderValue, StatusCode, header};
+use http_body::Body as _;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use sched::{fleet::Outcome, quota::Quota};
@@ -54,18 +56,20 @@
     }
 }
 
-/// Handles one request of a caller, on the connection of `unwritten`.
+/// Handles one request of a caller, on the connection of `entry` and `unwritten`.
 ///
 /// # Errors
 /// Never; the HTTP server requires a result.
 pub async fn handle(
     board: Rc<Blackboard>,
+    entry: Rc<Entry>,
     unwritten: Unwritten,
     request: http::Request<Incoming>,
 ) -> Result<http::Response<Body>, Infallible> {
-    let in_progress = progress::Request::new(&board);
+    let in_progress = progress::Request::new(&board, &entry);
     let head = board.headers.decode_request(request.headers());
     let attempt: Box<str> = head.as_ref().map_or_else(|_| "".into(), |h| h.attempt.clone());
+    entry.set_attempt(&attempt);
     let caller = Caller { board: &board, attempt: &attempt, answered: Cell::new(false) };
     let result = match before_end(&board, admission::check(&board, head, request), unread).await {
         Ok(accepted) => {
@@ -81,6 +85,7 @@
     if board.phase() != Phase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    entry.add_unwritten(response.body().size_hint().lower());
     let progress = progress::Response::new(in_progress, unwritten);
     Ok(response.map(|body| body.with_response(progress)))
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`serve`] accepts callers' connections and passes each request to
 //!   [`exchange`], which handles it from validation ([`admission`]) through
 //!   attempts at one or more endpoints ([`history`]) to the last byte of the
-//!   response ([`reply`]).
+//!   response ([`reply`]). [`connections`] closes those without progress.
 //! * [`dispatcher`] queues requests and assigns them to endpoints; the
 //!   decisions are those of the pure modules `sched::{backlog, fleet, quota,
 //!   budget, strike}`.
@@ -38,6 +38,7 @@
 pub mod authentication;
 pub mod blackboard;
 pub mod configuration;
+pub mod connections;
 pub mod digest;
 pub mod directory;
 pub mod discovery;
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::{
     announce,
     blackboard::{Blackboard, Phase},
-    discovery, dispatcher, holder, owner, peers, quarantine, serve, transfer,
+    connections, discovery, dispatcher, holder, owner, peers, quarantine, serve, transfer,
     watch::{self, Store},
 };
 use anyhow::Result;
@@ -84,6 +84,7 @@
     let changed = Rc::new(changed);
     let socket = Rc::clone(&sockets.peers);
     supervise(&board, &sockets.callers, "callers", serve::callers);
+    supervise(&board, &Rc::new(()), "connections", |board, _| connections::watch(board));
     supervise(&board, &sockets.readiness, "readiness", serve::readiness);
     supervise(&board, &sockets.metrics, "metrics", serve::metrics);
     supervise(&board, &sockets.transfers, "transfers", transfer::serve);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     blackboard::{Blackboard, Phase},
+    connections::{self, Entry, Registration},
     exchange,
     progress::{self, Unwritten},
 };
@@ -14,22 +15,36 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{info, warn};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::{
-    cell::Cell, convert::Infallible, net::SocketAddr, panic::AssertUnwindSafe, rc::Rc,
-    time::Duration,
+    cell::Cell, collections::VecDeque, convert::Infallible, net::SocketAddr,
+    panic::AssertUnwindSafe, rc::Rc, time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
 };
-use tokio::net::{TcpListener, TcpStream};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: i32 = 1_024;
-/// Largest head of a request, in bytes; above any configured limit.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Time for a request head to arrive, from the opening of the connection or the end of the previous
-/// response.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
+/// Largest buffer for reading from a caller, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Largest head of a request, in bytes. Callers keep to 16,384.
+const MAX_HEAD_BYTES: usize = 24 * 1024;
+/// Time for the request of a page to arrive.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Number of connections that may have to give way to one, since those that are to be closed still
+/// count until their tasks have ended.
+const RECLAIM_ATTEMPTS: u32 = 8;
+/// Bytes that the kernel holds for a caller that does not read. On a path of 80 ms it allows 12 Mbit/s,
+/// more than the slowest machines have.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+/// Fraction of the file descriptors for the connections of one page, as a divisor.
+const PAGE_DESCRIPTOR_DIVISOR: u32 = 64;
+/// Largest number of connections of one page.
+const MAX_PAGE_CONNECTIONS: usize = 32;
 /// Fraction of the file descriptors for callers' connections, as a divisor.
 const CALLER_DESCRIPTOR_DIVISOR: u32 = 2;
 
@@ -51,19 +66,19 @@
 
 /// Accepts callers' connections until the process exits.
 pub async fn callers(board: Rc<Blackboard>, listener: Rc<TcpListener>) {
-    let open = Rc::new(Cell::new(0_u32));
-    let max_open = board.settings.descriptors / CALLER_DESCRIPTOR_DIVISOR;
+    let max_open = usize::try_from(board.settings.descriptors / CALLER_DESCRIPTOR_DIVISOR);
+    let max_open = max_open.unwrap_or(usize::MAX);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if open.get() < max_open => {
-                let guard = Guard::new(&open);
+            Ok((stream, _)) if has_descriptor(&board, max_open).await => {
                 let board = Rc::clone(&board);
+                let registration = Registration::new(&board);
                 tokio::task::spawn_local(async move {
-                    let serving = AssertUnwindSafe(serve_connection(Rc::clone(&board), stream));
-                    if serving.catch_unwind().await.is_err() {
+                    let serving = serve_connection(&board, stream, &registration.entry);
+                    if AssertUnwindSafe(serving).catch_unwind().await.is_err() {
                         board.record_panic("connection");
                     }
-                    drop(guard);
+                    drop(registration);
                 });
             }
             Ok(_) => board.metrics.count("connections", "refused"),
@@ -75,42 +90,55 @@
     }
 }
 
-/// Counts an open connection until dropped.
-struct Guard(Rc<Cell<u32>>);
-
-impl Guard {
-    fn new(open: &Rc<Cell<u32>>) -> Self {
-        open.set(open.get() + 1);
-        Self(Rc::clone(open))
+/// Whether there is a descriptor for a connection; if there is none, another connection gives way.
+async fn has_descriptor(board: &Blackboard, max_open: usize) -> bool {
+    for _ in 0..RECLAIM_ATTEMPTS {
+        if board.connections.len() < max_open {
+            return true;
+        }
+        if !connections::reclaim_descriptor(board) {
+            return false;
+        }
+        // Lets the task of the connection end.
+        tokio::task::yield_now().await;
     }
+    board.connections.len() < max_open
 }
 
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+async fn serve_connection(board: &Rc<Blackboard>, stream: TcpStream, entry: &Rc<Entry>) {
+    tokio::select! {
+        biased;
+        () = entry.closed() => {}
+        () = exchange_requests(board, stream, entry) => {}
     }
 }
 
-async fn serve_connection(board: Rc<Blackboard>, stream: TcpStream) {
-    let configured = stream.set_nodelay(true).and_then(|()| crate::pool::enable_keepalive(&stream));
+async fn exchange_requests(board: &Rc<Blackboard>, stream: TcpStream, entry: &Rc<Entry>) {
+    let configured = stream.set_nodelay(true).and_then(|()| {
+        SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        crate::pool::enable_keepalive(&stream)
+    });
     if let Err(e) = configured {
         info!(board.log, "setting socket options failed"; "error" => %e);
     }
     let unwritten = Unwritten::default();
-    let stream = progress::Connection::new(stream, unwritten.clone());
+    let stream = progress::Connection::new(stream, unwritten.clone(), board, entry);
     let handler = {
-        let board = Rc::clone(&board);
-        service_fn(move |request| exchange::handle(Rc::clone(&board), unwritten.clone(), request))
+        let (board, entry) = (Rc::clone(board), Rc::clone(entry));
+        service_fn(move |request| {
+            exchange::handle(Rc::clone(&board), Rc::clone(&entry), unwritten.clone(), request)
+        })
     };
     // A connection accepted while closing still gets one response, which tells the caller more than
     // a closed connection.
     let closing = board.phase() >= Phase::Closing;
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
+        // The time for a head is limited by [`connections`].
+        .header_read_timeout(None)
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .max_header_size(MAX_HEAD_BYTES)
         .keep_alive(!closing)
-        .serve_connection(stream, handler);
+        .serve_connection(TokioIo::new(stream), handler);
     let mut connection = std::pin::pin!(connection);
     if closing {
         connection.await.ok();
@@ -147,6 +175,9 @@
     serve_page(board, listener, |board| {
         let gauge = |name, value| board.metrics.set_gauge(name, value);
         gauge("in_progress", board.in_progress.get() as u64);
+        gauge("connections", board.connections.len() as u64);
+        gauge("unwritten_bytes", board.connections.unwritten());
+        gauge("memory_free", board.body_memory.free());
         gauge("waiting", board.dispatcher.borrow().waiting() as u64);
         gauge("quarantined", board.quarantine.borrow().suspected() as u64);
         gauge("peers", board.roster.borrow().live_count(board.now()) as u64);
@@ -164,6 +195,9 @@
     render: impl Fn(&Blackboard) -> (StatusCode, String) + 'static,
 ) {
     let render = Rc::new(render);
+    let share = usize::try_from(board.settings.descriptors / PAGE_DESCRIPTOR_DIVISOR);
+    let max_open = share.unwrap_or(usize::MAX).clamp(1, MAX_PAGE_CONNECTIONS);
+    let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -173,6 +207,13 @@
                 continue;
             }
         };
+        open.retain(|connection| !connection.is_finished());
+        if open.len() >= max_open
+            && let Some(oldest) = open.pop_front()
+        {
+            oldest.abort();
+            board.metrics.count("connections", "page_closed");
+        }
         let board = Rc::clone(&board);
         let render = Rc::clone(&render);
         let handler = service_fn(move |_: Request<Incoming>| {
@@ -183,9 +224,11 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
+            .header_read_timeout(PAGE_TIMEOUT)
             .serve_connection(TokioIo::new(stream), handler);
         // A failed write only means that the reader disconnected.
-        tokio::task::spawn_local(async move { connection.await.ok() });
+        open.push_back(tokio::task::spawn_local(async move {
+            connection.await.ok();
+        }));
     }
 }
