--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -4,11 +4,10 @@
     blackboard::{Blackboard, Phase},
     configuration::{Configuration, Organisation, Route},
     dispatcher::Submission,
-    memory::Reservation,
     reply::{RETRY_DELAY, RETRY_OTHER_NODE_DELAY, Refused},
     request,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use codes::Code;
 use http::{HeaderMap, Method, header, uri::PathAndQuery};
 use http_body::Body as _;
@@ -60,10 +59,8 @@
     pub path: PathAndQuery,
     /// Caller's headers, unchanged.
     pub headers: HeaderMap,
-    /// Body.
+    /// Body, with the reservation of its memory.
     pub body: Bytes,
-    /// Memory that the body uses.
-    pub body_memory: Reservation,
 }
 
 /// Validates a request and reads its body.
@@ -102,7 +99,8 @@
         return Err(refused.with_retry_after(RETRY_OTHER_NODE_DELAY));
     }
     let (parts, body) = request.into_parts();
-    let (body, body_memory) = read_body(board, &configuration, body, deadline).await?;
+    let payer = organisation.as_ref().map_or_else(anonymous, |o| o.id.clone());
+    let body = read_body(board, &configuration, &payer, body, deadline).await?;
     let fingerprint = fingerprint(organisation.as_deref(), parts.uri.path(), &body);
     let draw: u64 = rand::random();
     let service = route.backend(draw).cloned();
@@ -128,7 +126,6 @@
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         headers: parts.headers,
         body,
-        body_memory,
         route,
     })
 }
@@ -153,6 +150,10 @@
     Ok(organisation)
 }
 
+fn anonymous() -> OrganisationId {
+    OrganisationId::new(ANONYMOUS).expect("the name is valid")
+}
+
 #[allow(clippy::too_many_arguments, reason = "combines the results of validation")]
 fn submission(
     head: &request::Head,
@@ -170,7 +171,6 @@
     let soft_deadline = arrived + target.saturating_sub(lead_time.min(target / 2));
     let max_wait = deadline.since(arrived).min(silence_timeout(route));
     let hard_deadline = arrived + max_wait.saturating_sub(lead_time.min(max_wait / 2));
-    let anonymous = || OrganisationId::new(ANONYMOUS).expect("the name is valid");
     Submission {
         request: RequestId::random(&mut rand::rng()),
         service,
@@ -200,9 +200,10 @@
 async fn read_body(
     board: &Blackboard,
     configuration: &Configuration,
+    organisation: &OrganisationId,
     body: Incoming,
     deadline: Time,
-) -> Result<(Bytes, Reservation), Refused> {
+) -> Result<Bytes, Refused> {
     let limits = configuration.limits;
     let declared = body.size_hint().lower();
     if declared > limits.max_body.get() {
@@ -212,29 +213,35 @@
         let refused = Refused::new(Code::TooManyRequests, "memory for bodies is in use");
         refused.with_retry_after(RETRY_DELAY)
     };
-    let mut reservation = board.body_memory.reserve();
-    if !reservation.raise(usize::try_from(declared).unwrap_or(usize::MAX)) {
+    let mut reservation = board.body_memory.reserve_for(organisation);
+    let declared = usize::try_from(declared).unwrap_or(usize::MAX);
+    if !reservation.raise(declared) {
         return Err(no_memory());
     }
     let limit = usize::try_from(limits.max_body.get()).unwrap_or(usize::MAX);
     let reading = async {
         let mut body = Limited::new(body, limit);
-        let mut whole = BytesMut::new();
+        let mut whole = Vec::with_capacity(declared);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|e| unreadable(&*e, limit))?;
             let Ok(chunk) = frame.into_data() else { continue };
             // A body in chunks states no length, so that its memory is reserved as it comes.
-            if !reservation.raise(whole.len() + chunk.len()) {
-                return Err(no_memory());
+            let needed = whole.len() + chunk.len();
+            if needed > whole.capacity() {
+                let capacity = needed.max((2 * whole.capacity()).min(limit));
+                if !reservation.raise(capacity) {
+                    return Err(no_memory());
+                }
+                whole.reserve_exact(capacity - whole.len());
             }
             whole.extend_from_slice(&chunk);
         }
-        Ok(whole.freeze())
+        Ok(whole)
     };
     let time = limits.header_timeout.min(deadline.since(board.now()));
     let slow = |_| Refused::new(Code::SlowSender, "the body did not arrive in time");
     let body = tokio::time::timeout(time, reading).await.map_err(slow)??;
-    Ok((body, reservation))
+    Ok(reservation.attach(body))
 }
 
 /// Refusal of a request whose body cannot be read.
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -44,7 +44,10 @@
 const MIN_CONNECTIONS: u32 = 2;
 
 /// Fraction of the process's memory that bodies may use, as a divisor.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+const BODY_MEMORY_DIVISOR: u64 = 8;
+/// Same, as a multiple of the divided memory. A node of 88 MB needs 20 MB for a single request with
+/// the largest body and response, and an eighth is kept for small ones.
+const BODY_MEMORY_FACTOR: u64 = 3;
 /// Time after a failed call of the store after which a node may replace a reader again.
 const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -192,7 +195,9 @@
             outbox: RefCell::default(),
             outbox_ready: Notify::new(),
             demand: Cell::new(0),
-            body_memory: memory::Pool::new(settings.memory / BODY_MEMORY_DIVISOR),
+            body_memory: memory::Pool::new(
+                settings.memory / BODY_MEMORY_DIVISOR * BODY_MEMORY_FACTOR,
+            ),
             connections: Connections::default(),
             pool: Pool::new(),
             settings,
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -2,8 +2,9 @@
 //!
 //! A caller that does not send, does not read or issues no request occupies a
 //! descriptor, memory, and perhaps an endpoint. Its connection is closed after a
-//! time without progress, and earlier if descriptors are short: first the one
-//! that has been without a request for longest. A connection that
+//! time without progress, and earlier if memory or descriptors are short: of
+//! those that do not read, the one with the most unread bytes first; of those
+//! without a request, the one that has been so for longest. A connection that
 //! has just been accepted, or whose request runs, is never closed for that.
 
 use crate::{blackboard::Blackboard, reply::millis};
@@ -42,6 +43,8 @@
     HeadMemory,
     /// The caller did not read its response.
     Unread,
+    /// The same, while memory was short.
+    Memory,
     /// Descriptors were short.
     Descriptors,
 }
@@ -53,6 +56,7 @@
             Self::Head => "head",
             Self::HeadMemory => "head_memory",
             Self::Unread => "unread",
+            Self::Memory => "memory",
             Self::Descriptors => "descriptors",
         }
     }
@@ -284,6 +288,18 @@
     }
 }
 
+/// Closes the connection with the most unread bytes among those without progress; false if there is
+/// none.
+pub fn reclaim_memory(board: &Blackboard) -> bool {
+    let now = board.now();
+    let open = board.connections.open.borrow();
+    let stalled = |entry: &&Rc<Entry>| {
+        entry.closed.get().is_none() && entry.unwritten.get() > 0 && entry.stalled(now) >= MIN_STALL
+    };
+    let largest = open.values().filter(stalled).max_by_key(|entry| entry.unwritten.get());
+    largest.map(|entry| entry.close(Reason::Memory)).is_some()
+}
+
 /// Closes a connection in favour of a new one; false if none may be closed.
 pub fn reclaim_descriptor(board: &Blackboard) -> bool {
     let now = board.now();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,11 +9,12 @@
 use crate::{
     admission,
     blackboard::{Blackboard, Phase},
-    connections::Entry,
+    connections::{self, Entry},
     dispatcher::{self, Slot},
     headers::Outbound,
     history::{Failure, History},
     limits,
+    memory::Buffer,
     pool::Connection,
     progress::{self, Unwritten},
     quarantine::{self, Site},
@@ -21,7 +22,7 @@
     response,
     stream::{Relay, Segment},
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use codes::{Code, Event, Executed};
 use futures_util::FutureExt;
 use http::{HeaderValue, StatusCode, header};
@@ -31,10 +32,16 @@
 use sched::{fleet::Outcome, quota::Quota};
 use slog::info;
 use std::{cell::Cell, convert::Infallible, panic::AssertUnwindSafe, rc::Rc, time::Duration};
+use tokio::time::Instant;
 use units::{EndpointId, Tokens};
 
 /// Largest buffered response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Time for which reading a response pauses until there is memory. Endpoints abort responses that
+/// stay unread for some seconds.
+const ROOM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for the memory of a connection that is closed in favour of a response to return.
+const RECLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest body of a response that is not forwarded, in bytes; its connection is reused after that.
 const MAX_DISCARDED_BYTES: usize = 16 << 10;
 /// Time limit for such a body.
@@ -316,18 +323,65 @@
     matches!(tokio::time::timeout(DISCARD_TIMEOUT, reading).await, Ok(Ok(_)))
 }
 
-/// Reads a body within the limits of one response and of the memory for all of them.
-async fn read_whole(board: &Blackboard, mut body: Incoming) -> Result<Bytes, Box<str>> {
-    let mut reservation = board.body_memory.reserve();
-    let mut whole = BytesMut::new();
+/// Reads a body within the limits of one response and of the memory for all of them. While there is
+/// no memory, reading pauses.
+async fn read_whole(
+    board: &Blackboard,
+    accepted: &admission::Request,
+    mut body: Incoming,
+) -> Result<Buffer, Failure> {
+    let lost = |cause: String| Failure::Lost(cause.into());
+    let mut whole = Buffer::new(board.body_memory.reserve_for(&accepted.submission.organisation));
+    // A stated length is reserved at once, so that responses that are read at the same time do not
+    // wait for each other's memory.
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > MAX_RESPONSE_BYTES {
+        return Err(lost(format!("response of {stated} bytes")));
+    }
+    reserve(board, accepted, || whole.reserve(stated)).await?;
     while let Some(frame) = body.frame().await {
-        let Ok(chunk) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
-        whole.extend_from_slice(&chunk);
-        if whole.len() > MAX_RESPONSE_BYTES || !reservation.raise(whole.len()) {
-            return Err(format!("response of more than {} bytes", whole.len()).into());
+        let Ok(chunk) = frame.map_err(|e| lost(e.to_string()))?.into_data() else { continue };
+        if whole.len() + chunk.len() > MAX_RESPONSE_BYTES {
+            return Err(lost(format!("response of more than {} bytes", whole.len())));
         }
+        reserve(board, accepted, || whole.push(&chunk)).await?;
     }
-    Ok(whole.freeze())
+    Ok(whole)
+}
+
+/// Waits until a reservation succeeds. If there is no memory within a time, connections that do not
+/// read their responses are closed.
+async fn reserve(
+    board: &Blackboard,
+    accepted: &admission::Request,
+    mut attempt: impl FnMut() -> bool,
+) -> Result<(), Failure> {
+    if attempt() {
+        return Ok(());
+    }
+    board.metrics.count("memory", "paused");
+    let mut wait = ROOM_TIMEOUT;
+    let mut until = Instant::now() + wait;
+    loop {
+        let mut returned = std::pin::pin!(board.body_memory.returned());
+        returned.as_mut().enable();
+        if attempt() {
+            return Ok(());
+        }
+        if tokio::time::timeout_at(until, returned).await.is_ok() {
+            continue;
+        }
+        if wait == RECLAIM_TIMEOUT || !connections::reclaim_memory(board) {
+            break;
+        }
+        wait = RECLAIM_TIMEOUT;
+        until = Instant::now() + wait;
+    }
+    board.metrics.count("memory", "short");
+    info!(board.log, "memory short"; Event::MemoryShort, "request" => &*accepted.head.attempt,
+        "organisation" => %accepted.submission.organisation, "free" => board.body_memory.free(),
+        "unwritten" => board.connections.unwritten());
+    Err(Failure::NoMemory)
 }
 
 /// Maximum number of idle connections to keep per endpoint of the request's service.
@@ -421,13 +475,19 @@
 ) -> Result<http::Response<Body>, Failure> {
     let Response { mut slot, mut connection, head, parts, body } = received;
     let time_left = accepted.deadline.since(board.now());
-    let body = match tokio::time::timeout(time_left, read_whole(board, body)).await {
+    let reading = read_whole(board, accepted, body);
+    let body = match tokio::time::timeout(time_left, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(cause)) => {
+        Ok(Err(Failure::NoMemory)) => {
+            // The endpoint is not at fault.
+            slot.release(Outcome::Cancelled);
+            return Err(Failure::NoMemory);
+        }
+        Ok(Err(failure)) => {
             let site = Site::new(&slot);
             slot.release(Outcome::Failed);
             quarantine::record_if_crashed(board, accepted, site).await;
-            return Err(Failure::Lost(cause));
+            return Err(failure);
         }
         Err(_) => return Err(Failure::TimedOut),
     };
@@ -456,7 +516,7 @@
         "total_ms" => millis(now.since(accepted.arrived)), "runs" => history.possible_runs + 1);
     board.metrics.count("answered", parts.status.as_str());
     board.metrics.record_time("answer", now.since(accepted.arrived));
-    Ok(response_head(&parts).map(|()| Body::full(body)))
+    Ok(response_head(&parts).map(|()| Body::segments(body.into_segments())))
 }
 
 /// Forwards a stream once its first event has arrived.
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -30,6 +30,8 @@
     NotRun(StatusCode),
     /// The request may have been run.
     Lost(Box<str>),
+    /// The request has been run, and there is no memory for its response.
+    NoMemory,
     /// The deadline passed.
     TimedOut,
 }
@@ -83,6 +85,10 @@
                     return Err(Refused::new(Code::AnswerCut, cause.clone()));
                 }
             }
+            Failure::NoMemory => {
+                self.possible_runs += 1;
+                return Err(Refused::new(Code::AnswerCut, "no memory for the response"));
+            }
             Failure::TimedOut => {
                 return Err(Refused::new(Code::EndpointTimeout, "no answer before the deadline"));
             }
@@ -143,6 +149,7 @@
             Self::Unsent(_) => "unsent",
             Self::NotRun(_) => "not_run",
             Self::Lost(_) => "lost",
+            Self::NoMemory => "no_memory",
             Self::TimedOut => "timed_out",
         }
     }
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use slog::info;
 use std::{
+    collections::VecDeque,
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
@@ -41,6 +42,8 @@
 #[derive(Debug)]
 enum Content {
     Full(Full<Bytes>),
+    /// Parts of a complete body, and the number of bytes that are left.
+    Segments(VecDeque<Bytes>, u64),
     Relay(Box<Relay>),
 }
 
@@ -51,6 +54,13 @@
         Self { content: Content::Full(Full::new(bytes)), response: None }
     }
 
+    /// Complete body in parts, each of which is dropped once it is written.
+    #[must_use]
+    pub fn segments(segments: VecDeque<Bytes>) -> Self {
+        let length = segments.iter().map(|part| part.len() as u64).sum();
+        Self { content: Content::Segments(segments, length), response: None }
+    }
+
     /// Stream of events.
     #[must_use]
     pub fn relay(relay: Relay) -> Self {
@@ -75,6 +85,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match &mut self.get_mut().content {
             Content::Full(full) => Pin::new(full).poll_frame(context).map_err(|e| match e {}),
+            Content::Segments(segments, left) => {
+                let next = segments.pop_front();
+                *left -= next.as_ref().map_or(0, |part| part.len() as u64);
+                Poll::Ready(next.map(|part| Ok(Frame::data(part))))
+            }
             Content::Relay(relay) => relay
                 .poll_events(context)
                 .map(|next| next.map(|result| result.map(Frame::data).map_err(Into::into))),
@@ -84,6 +99,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Full(full) => full.is_end_stream(),
+            Content::Segments(segments, _) => segments.is_empty(),
             Content::Relay(_) => false,
         }
     }
@@ -91,6 +107,7 @@
     fn size_hint(&self) -> SizeHint {
         match &self.content {
             Content::Full(full) => full.size_hint(),
+            Content::Segments(_, left) => SizeHint::with_exact(*left),
             Content::Relay(_) => SizeHint::default(),
         }
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -178,6 +178,7 @@
         gauge("connections", board.connections.len() as u64);
         gauge("unwritten_bytes", board.connections.unwritten());
         gauge("memory_free", board.body_memory.free());
+        gauge("memory_total", board.body_memory.total());
         gauge("waiting", board.dispatcher.borrow().waiting() as u64);
         gauge("quarantined", board.quarantine.borrow().suspected() as u64);
         gauge("peers", board.roster.borrow().live_count(board.now()) as u64);
