--- a/crates/fake-host/src/node.rs
+++ b/crates/fake-host/src/node.rs
@@ -26,6 +26,8 @@
     pub readiness: SocketAddr,
     /// Address that serves metrics.
     pub metrics: SocketAddr,
+    /// Address that serves other nodes.
+    pub peers: SocketAddr,
     program: Box<Path>,
     directory: TempDir,
     child: Child,
@@ -121,6 +123,7 @@
             callers: SocketAddr::new(ip, callers),
             readiness: SocketAddr::new(ip, readiness),
             metrics: SocketAddr::new(ip, metrics),
+            peers: SocketAddr::new(ip, peers),
             program: program.into(),
             directory,
             child,
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -19,6 +19,7 @@
     roster::Owner,
     roster::Roster,
     settings::Settings,
+    shares::Shares,
     transfer::Library,
 };
 use codes::Event;
@@ -43,11 +44,6 @@
 /// Number of connections to an endpoint that every node may open.
 const MIN_CONNECTIONS: u32 = 2;
 
-/// Fraction of the process's memory that bodies may use, as a divisor.
-const BODY_MEMORY_DIVISOR: u64 = 8;
-/// Same, as a multiple of the divided memory. A node of 88 MB needs 20 MB for a single request with
-/// the largest body and response, and an eighth is kept for small ones.
-const BODY_MEMORY_FACTOR: u64 = 3;
 /// Time after a failed call of the store after which a node may replace a reader again.
 const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -141,6 +137,8 @@
     /// Number of requests that were queued at the last allocation of slots, or had arrived since the
     /// one before.
     pub demand: Cell<u32>,
+    /// Shares of memory and descriptors.
+    pub shares: Shares,
     /// Connections of callers.
     pub connections: Connections,
     /// Connections to endpoints.
@@ -160,6 +158,7 @@
     /// Blackboard of a node that has read nothing yet.
     #[must_use]
     pub fn new(settings: Settings, log: Logger, headers: Box<dyn Codec>) -> Self {
+        let shares = Shares::new(settings.memory, settings.descriptors);
         Self {
             dispatcher: RefCell::new(Dispatcher::new(settings.instance.clone())),
             log,
@@ -195,11 +194,10 @@
             outbox: RefCell::default(),
             outbox_ready: Notify::new(),
             demand: Cell::new(0),
-            body_memory: memory::Pool::new(
-                settings.memory / BODY_MEMORY_DIVISOR * BODY_MEMORY_FACTOR,
-            ),
+            body_memory: memory::Pool::new(shares.bodies),
             connections: Connections::default(),
-            pool: Pool::new(),
+            pool: Pool::new(shares.endpoints),
+            shares,
             settings,
             in_progress: Cell::new(0),
             exit_at: Cell::new(None),
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -12,12 +12,12 @@
 use slog::info;
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     rc::Rc,
     task::Waker,
     time::Duration,
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, task::JoinHandle};
 use units::Time;
 
 /// Interval at which connections are checked.
@@ -309,3 +309,33 @@
     let first = ranked.max_by_key(|(rank, _)| *rank);
     first.map(|(_, entry)| entry.close(Reason::Descriptors)).is_some()
 }
+
+/// Connections of a listener that is not for callers; the oldest gives way to a new one.
+#[derive(Debug)]
+pub struct Recent {
+    max: usize,
+    open: VecDeque<JoinHandle<()>>,
+}
+
+impl Recent {
+    /// No connections, and `max` at most.
+    #[must_use]
+    pub fn new(max: u32) -> Self {
+        Self { max: usize::try_from(max).unwrap_or(usize::MAX), open: VecDeque::new() }
+    }
+
+    /// Makes room for a connection; true if another one was closed.
+    pub fn make_room(&mut self) -> bool {
+        self.open.retain(|connection| !connection.is_finished());
+        if self.open.len() < self.max {
+            return false;
+        }
+        let oldest = self.open.pop_front();
+        oldest.map(|connection| connection.abort()).is_some()
+    }
+
+    /// Adds the task of a connection.
+    pub fn push(&mut self, connection: JoinHandle<()>) {
+        self.open.push_back(connection);
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod roster;
 pub mod serve;
 pub mod settings;
+pub mod shares;
 pub mod stream;
 pub mod transfer;
 pub mod watch;
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -81,6 +81,7 @@
     let listen = board.settings.listen;
     info!(board.log, "started"; Event::Started, "callers" => %listen.callers,
         "readiness" => %listen.readiness, "metrics" => %listen.metrics, "peers" => %listen.peers);
+    check_shares(&board);
     let changed = Rc::new(changed);
     let socket = Rc::clone(&sockets.peers);
     supervise(&board, &sockets.callers, "callers", serve::callers);
@@ -107,6 +108,17 @@
     Ok(())
 }
 
+/// Logs limits in the settings that do not cover what the node may hold.
+fn check_shares(board: &Blackboard) {
+    let shares = &board.shares;
+    if shares.exceed_memory() || shares.exceed_descriptors() {
+        warn!(board.log, "limits exceeded by their shares"; Event::SettingsContradict,
+            "memory" => board.settings.memory, "memory_sum" => shares.memory_sum(),
+            "descriptors" => board.settings.descriptors,
+            "descriptor_sum" => shares.descriptor_sum());
+    }
+}
+
 /// Runs a task, and again if it panics: an unexpected error in one task must end neither the process
 /// nor the task's duty.
 fn supervise<T: 'static, F: Future<Output = ()> + 'static>(
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -13,7 +13,14 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::net::TcpStream;
 use units::Time;
 use xxhash_rust::xxh3::xxh3_64;
@@ -72,17 +79,35 @@
     until: Time,
 }
 
-/// Idle connections by address.
-#[derive(Debug, Default)]
+/// Idle connections by address, and the number of all.
+#[derive(Debug)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    max_open: u32,
+    open: Rc<Cell<u32>>,
+}
+
+/// Counts an open connection until it is dropped.
+struct Guard(Rc<Cell<u32>>);
+
+impl Guard {
+    fn new(open: &Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Pool {
-    /// Empty pool.
+    /// Empty pool of at most `max_open` connections, idle or in use.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(max_open: u32) -> Self {
+        Self { idle: RefCell::default(), max_open, open: Rc::default() }
     }
 
     /// Takes an idle connection that has not carried `attempt`, or opens a new one. With
@@ -102,7 +127,15 @@
         {
             return Ok(Connection { sender, reused: true, address, unfinished });
         }
-        let sender = connect(address).await?;
+        if self.open.get() >= self.max_open {
+            // Idle connections give way; their tasks end when this one yields.
+            self.idle.borrow_mut().clear();
+            tokio::task::yield_now().await;
+            if self.open.get() >= self.max_open {
+                return Err(io::Error::other("all connections to endpoints are in use"));
+            }
+        }
+        let sender = open(address, Some(Guard::new(&self.open))).await?;
         Ok(Connection { sender, reused: false, address, unfinished: Vec::new() })
     }
 
@@ -184,6 +217,10 @@
 /// # Errors
 /// The connection is refused, or times out.
 pub async fn connect(address: SocketAddr) -> io::Result<SendRequest<Body>> {
+    open(address, None).await
+}
+
+async fn open(address: SocketAddr, guard: Option<Guard>) -> io::Result<SendRequest<Body>> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
@@ -196,6 +233,9 @@
         .await
         .map_err(io::Error::other)?;
     // A request in progress receives the connection's error; an idle connection is just dropped.
-    tokio::task::spawn_local(async move { connection.await.ok() });
+    tokio::task::spawn_local(async move {
+        connection.await.ok();
+        drop(guard);
+    });
     Ok(sender)
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     blackboard::{Blackboard, Phase},
-    connections::{self, Entry, Registration},
+    connections::{self, Entry, Recent, Registration},
     exchange,
     progress::{self, Unwritten},
 };
@@ -17,13 +17,10 @@
 use slog::{info, warn};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::{
-    cell::Cell, collections::VecDeque, convert::Infallible, net::SocketAddr,
-    panic::AssertUnwindSafe, rc::Rc, time::Duration,
-};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    task::JoinHandle,
+    cell::Cell, convert::Infallible, net::SocketAddr, panic::AssertUnwindSafe, rc::Rc,
+    time::Duration,
 };
+use tokio::net::{TcpListener, TcpStream};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -41,13 +38,6 @@
 /// Bytes that the kernel holds for a caller that does not read. On a path of 80 ms it allows 12 Mbit/s,
 /// more than the slowest machines have.
 const SEND_BUFFER_BYTES: usize = 128 << 10;
-/// Fraction of the file descriptors for the connections of one page, as a divisor.
-const PAGE_DESCRIPTOR_DIVISOR: u32 = 64;
-/// Largest number of connections of one page.
-const MAX_PAGE_CONNECTIONS: usize = 32;
-/// Fraction of the file descriptors for callers' connections, as a divisor.
-const CALLER_DESCRIPTOR_DIVISOR: u32 = 2;
-
 /// Opens a listener.
 ///
 /// # Errors
@@ -66,8 +56,7 @@
 
 /// Accepts callers' connections until the process exits.
 pub async fn callers(board: Rc<Blackboard>, listener: Rc<TcpListener>) {
-    let max_open = usize::try_from(board.settings.descriptors / CALLER_DESCRIPTOR_DIVISOR);
-    let max_open = max_open.unwrap_or(usize::MAX);
+    let max_open = usize::try_from(board.shares.callers).unwrap_or(usize::MAX);
     loop {
         match listener.accept().await {
             Ok((stream, _)) if has_descriptor(&board, max_open).await => {
@@ -196,9 +185,7 @@
     render: impl Fn(&Blackboard) -> (StatusCode, String) + 'static,
 ) {
     let render = Rc::new(render);
-    let share = usize::try_from(board.settings.descriptors / PAGE_DESCRIPTOR_DIVISOR);
-    let max_open = share.unwrap_or(usize::MAX).clamp(1, MAX_PAGE_CONNECTIONS);
-    let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
+    let mut open = Recent::new(board.shares.page);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -208,11 +195,7 @@
                 continue;
             }
         };
-        open.retain(|connection| !connection.is_finished());
-        if open.len() >= max_open
-            && let Some(oldest) = open.pop_front()
-        {
-            oldest.abort();
+        if open.make_room() {
             board.metrics.count("connections", "page_closed");
         }
         let board = Rc::clone(&board);
@@ -228,7 +211,7 @@
             .header_read_timeout(PAGE_TIMEOUT)
             .serve_connection(TokioIo::new(stream), handler);
         // A failed write only means that the reader disconnected.
-        open.push_back(tokio::task::spawn_local(async move {
+        open.push(tokio::task::spawn_local(async move {
             connection.await.ok();
         }));
     }
--- a/crates/relay/src/transfer.rs
+++ b/crates/relay/src/transfer.rs
@@ -19,6 +19,7 @@
 use crate::{
     authentication::{append_hmac, verify_hmac},
     blackboard::Blackboard,
+    connections::Recent,
     journal::Snapshot,
     pool,
 };
@@ -167,6 +168,7 @@
 /// Serves documents to other nodes until the process exits.
 pub async fn serve(board: Rc<Blackboard>, listener: Rc<TcpListener>) {
     let uploads = Rc::new(Cell::new(0_u32));
+    let mut open = Recent::new(board.shares.transfers);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -176,13 +178,16 @@
                 continue;
             }
         };
+        if open.make_room() {
+            board.metrics.count("transfer", "closed");
+        }
         let (board, uploads) = (Rc::clone(&board), Rc::clone(&uploads));
-        tokio::task::spawn_local(async move {
+        open.push(tokio::task::spawn_local(async move {
             let connection = serve_connection(&board, stream, &uploads);
             if tokio::time::timeout(UPLOAD_TIMEOUT, connection).await.is_err() {
                 board.metrics.count("transfer", "upload_timeout");
             }
-        });
+        }));
     }
 }
 
