--- a/crates/fake-host/src/lib.rs
+++ b/crates/fake-host/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use self::{
     caller::{Connection, Request, Response},
-    node::Node,
+    node::{Limits, Node},
     store::Store,
     testbed::Testbed,
     worker::{Defect, Fault, Worker},
--- a/crates/fake-host/src/node.rs
+++ b/crates/fake-host/src/node.rs
@@ -26,6 +26,8 @@
     pub readiness: SocketAddr,
     /// Address that serves metrics.
     pub metrics: SocketAddr,
+    /// Address that serves other nodes.
+    pub peers: SocketAddr,
     program: Box<Path>,
     directory: TempDir,
     child: Child,
@@ -33,6 +35,21 @@
     readers: Vec<JoinHandle<()>>,
 }
 
+/// Limits in a node's settings file.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Memory of the machine, in megabytes.
+    pub memory_mb: u64,
+    /// File descriptors of the process.
+    pub max_fds: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 100, max_fds: 1_000 }
+    }
+}
+
 /// Lines written by the process, across restarts.
 type Lines = Arc<Mutex<Vec<String>>>;
 
@@ -55,7 +72,21 @@
     /// # Errors
     /// The program cannot be started.
     pub fn start(program: &Path, name: &str, zone: &str, store: SocketAddr) -> Result<Self> {
-        Self::start_with(program, name, zone, store, ["", ""])
+        Self::start_with(program, name, zone, store, Limits::default())
+    }
+
+    /// Starts a process with other limits in its settings file.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start_with(
+        program: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        limits: Limits,
+    ) -> Result<Self> {
+        Self::start_with_lines(program, name, zone, store, limits, ["", ""])
     }
 
     /// Starts a process that carries out rollouts.
@@ -69,17 +100,20 @@
         store: SocketAddr,
     ) -> Result<Self> {
         let bounds = "canary_share = 0.1\ncanary_burst = 50\nrollback_ms = 5000\n";
-        Self::start_with(program, name, zone, store, ["guarantees = [\"rollout\"]\n", bounds])
+        let lines = ["guarantees = [\"rollout\"]\n", bounds];
+        Self::start_with_lines(program, name, zone, store, Limits::default(), lines)
     }
 
     /// Starts a process with further lines at the start of its settings and in their table of bounds.
-    fn start_with(
+    fn start_with_lines(
         program: &Path,
         name: &str,
         zone: &str,
         store: SocketAddr,
+        limits: Limits,
         [first, bounds]: [&str; 2],
     ) -> Result<Self> {
+        let Limits { memory_mb, max_fds } = limits;
         let ip = crate::unused_address();
         let [callers, readiness, metrics, peers] = free_ports(ip)?;
         let directory = tempfile::tempdir()?;
@@ -98,8 +132,8 @@
 frontend = "{ip}:{callers}"
 readiness = "{ip}:{readiness}"
 [limits]
-memory_mb = 100
-max_fds = 1000
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 [bounds]
 retry_ratio = 0.2
 retry_window_s = 10
@@ -116,6 +150,7 @@
             callers: SocketAddr::new(ip, callers),
             readiness: SocketAddr::new(ip, readiness),
             metrics: SocketAddr::new(ip, metrics),
+            peers: SocketAddr::new(ip, peers),
             program: program.into(),
             directory,
             child,
@@ -150,6 +185,26 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Largest resident set of the process so far, in bytes.
+    ///
+    /// # Errors
+    /// The process has ended, or its status cannot be read.
+    pub fn peak_resident(&self) -> Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes: u64 = kilobytes.context("the status has no resident set")?.parse()?;
+        Ok(kilobytes * 1_024)
+    }
+
+    /// Open file descriptors of the process.
+    ///
+    /// # Errors
+    /// The process has ended, or its descriptors cannot be listed.
+    pub fn descriptors(&self) -> Result<usize> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+
     /// Waits for the process to end and returns its exit code; `None` after a signal.
     ///
     /// # Errors
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     configuration::{Configuration, Overdue},
+    connections::Connections,
     dispatcher::Dispatcher,
     headers::Codec,
     holder::Permits,
@@ -19,6 +20,7 @@
     roster::Owner,
     roster::Roster,
     settings::Settings,
+    shares::Shares,
     transfer::Library,
 };
 use codes::Event;
@@ -43,8 +45,6 @@
 /// Number of connections to an endpoint that every node may open.
 const MIN_CONNECTIONS: u32 = 2;
 
-/// Fraction of the process's memory that bodies may use, as a divisor.
-pub const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Time after a failed call of the store after which a node may replace a reader again.
 const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -144,6 +144,10 @@
     /// Number of requests that were queued at the last allocation of slots, or had arrived since the
     /// one before.
     pub demand: Cell<u32>,
+    /// Shares of memory and descriptors.
+    pub shares: Shares,
+    /// Connections of callers.
+    pub connections: Connections,
     /// Connections to endpoints.
     pub pool: Pool,
     /// Requests in progress.
@@ -161,6 +165,7 @@
     /// Blackboard of a node that has read nothing yet.
     #[must_use]
     pub fn new(settings: Settings, log: Logger, headers: Box<dyn Codec>) -> Self {
+        let shares = Shares::new(settings.memory, settings.descriptors);
         Self {
             dispatcher: RefCell::new(Dispatcher::new(settings.instance.clone())),
             log,
@@ -199,9 +204,11 @@
             outbox: RefCell::default(),
             outbox_ready: Notify::new(),
             demand: Cell::new(0),
-            body_memory: memory::Pool::new(settings.memory / BODY_MEMORY_DIVISOR),
+            body_memory: memory::Pool::new(shares.bodies),
+            connections: Connections::default(),
+            pool: Pool::new(shares.endpoints),
+            shares,
             settings,
-            pool: Pool::new(),
             in_progress: Cell::new(0),
             exit_at: Cell::new(None),
             incarnation: unix_millis(),
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::{
     announce,
     blackboard::{Blackboard, Phase},
-    discovery, dispatcher, holder, owner, peers, quarantine, rollout, serve, transfer,
+    connections, discovery, dispatcher, holder, owner, peers, quarantine, rollout, serve, transfer,
     watch::{self, Store},
 };
 use anyhow::Result;
@@ -81,9 +81,11 @@
     let listen = board.settings.listen;
     info!(board.log, "started"; Event::Started, "callers" => %listen.callers,
         "readiness" => %listen.readiness, "metrics" => %listen.metrics, "peers" => %listen.peers);
+    check_shares(&board);
     let changed = Rc::new(changed);
     let socket = Rc::clone(&sockets.peers);
     supervise(&board, &sockets.callers, "callers", serve::callers);
+    supervise(&board, &Rc::new(()), "connections", |board, _| connections::watch(board));
     supervise(&board, &sockets.readiness, "readiness", serve::readiness);
     supervise(&board, &sockets.metrics, "metrics", serve::metrics);
     supervise(&board, &sockets.transfers, "transfers", transfer::serve);
@@ -108,6 +110,17 @@
     Ok(())
 }
 
+/// Logs limits in the settings that do not cover what the node may hold.
+fn check_shares(board: &Blackboard) {
+    let shares = &board.shares;
+    if shares.exceed_memory() || shares.exceed_descriptors() {
+        warn!(board.log, "limits exceeded by their shares"; Event::SettingsContradict,
+            "memory" => board.settings.memory, "memory_sum" => shares.memory_sum(),
+            "descriptors" => board.settings.descriptors,
+            "descriptor_sum" => shares.descriptor_sum());
+    }
+}
+
 /// Runs a task, and again if it panics: an unexpected error in one task must end neither the process
 /// nor the task's duty.
 fn supervise<T: 'static, F: Future<Output = ()> + 'static>(
