--- a/crates/relay/src/rollout/coordinator.rs
+++ b/crates/relay/src/rollout/coordinator.rs
@@ -9,7 +9,7 @@
 use super::{is_enabled, messages, messages::Counts, set_stage};
 use crate::blackboard::Blackboard;
 use codes::Event;
-use sched::rollout::{Change, Rollout, Stage};
+use sched::rollout::{Change, Rollout, Stage, sample_probability};
 use slog::info;
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::net::UdpSocket;
@@ -164,6 +164,7 @@
             "order" => %rollout.order().id, "stage" => %rollout.stage(),
             "waits_for" => %rollout.waits_for(age), "counts" => &*counts,
             "age_ms" => crate::reply::millis(age), "nodes" => live.len(),
+            "share" => sample_probability(rollout.bounds().share),
             "listed_stable" => listed.stable, "listed_candidate" => listed.candidate);
     }
     change.map(|change| (change, counts))
