--- a/crates/relay/src/rollout/counts.rs
+++ b/crates/relay/src/rollout/counts.rs
@@ -172,13 +172,12 @@
             Outcome::Completed => {
                 Some((false, Some(self.first + self.gap.unwrap_or_default() * COUNTED_GAPS)))
             }
-            Outcome::Failed => Some((true, None)),
+            // A release whose endpoints all refuse connections would otherwise be completed without a
+            // response.
+            Outcome::Failed | Outcome::Unreachable => Some((true, None)),
             Outcome::Cancelled if self.timed_out => Some((true, None)),
-            // Endpoints that are full, gone or replaced give no response.
-            Outcome::Cancelled
-            | Outcome::Unreachable
-            | Outcome::AtCapacity
-            | Outcome::WrongEndpoint => None,
+            // Endpoints that are full or replaced, and callers that leave, give no response.
+            Outcome::Cancelled | Outcome::AtCapacity | Outcome::WrongEndpoint => None,
         }
     }
 }
