--- a/crates/sched/src/rollout/tally.rs
+++ b/crates/sched/src/rollout/tally.rs
@@ -223,7 +223,7 @@
     pub order: OrderId,
     /// Number of the report; a node numbers them upwards.
     pub sequence: u32,
-    /// Stage that is in force at the node.
+    /// Stage that was announced to the node or that it has read; not changed if it stops on its own.
     pub stage: Stage,
     /// Requests of the node in flight at endpoints of the stable release.
     pub running_at_stable: u32,
