--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -57,6 +57,8 @@
             headers: BTreeMap::from([("x-tenant".to_owned(), "org".to_owned())]),
             body: Vec::new(),
             started_at: std::time::Instant::now(),
+            ended_at: None,
+            bad: false,
             disconnected_at: None,
         },
         started_at,
