--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -132,6 +132,8 @@
     connections: HashMap<ServiceId, u32>,
     /// Services that respond with streams on some route.
     streamed: BTreeSet<ServiceId>,
+    /// Services whose endpoints' speed and concurrency are learned.
+    learning: BTreeSet<ServiceId>,
     /// Limits on callers' requests.
     pub limits: Limits,
 }
@@ -172,6 +174,26 @@
         &self.streamed
     }
 
+    /// Has the speed and concurrency of a service's endpoints learned.
+    #[must_use]
+    pub fn with_learning(mut self, service: ServiceId) -> Self {
+        self.learning.insert(service);
+        self
+    }
+
+    /// Whether the speed and concurrency of a service's endpoints are learned, see
+    /// [`sched::capacity`].
+    #[must_use]
+    pub fn learns(&self, service: &ServiceId) -> bool {
+        self.learning.contains(service)
+    }
+
+    /// Services of all routes.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let routes = self.routes.values().flatten();
+        routes.flat_map(|route| route.backends.iter().map(|backend| &backend.service))
+    }
+
     /// Sets the number of connections that an endpoint of a service accepts.
     #[must_use]
     pub fn with_connections(mut self, service: ServiceId, connections: u32) -> Self {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -221,6 +221,8 @@
     load: Option<Load>,
     /// Identifier of its permit, if the owner of the endpoint's cell issued one.
     permit: Option<RequestId>,
+    /// Prompt tokens that the endpoint had to read at dispatch, where they are learned from.
+    ahead: Option<Tokens>,
     /// Selected endpoint.
     pub choice: Choice,
     /// Time at which the slot was acquired.
@@ -241,6 +243,7 @@
             events: 0,
             load: None,
             permit: None,
+            ahead: None,
             choice,
             acquired: now,
         }
@@ -296,7 +299,14 @@
             self.has_response = true;
             self.first_event = now;
             match self.permit {
-                None => fleet.record_first_response(&self.choice.endpoint, self.size),
+                None => {
+                    let endpoint = &self.choice.endpoint;
+                    fleet.record_first_response(endpoint, self.size);
+                    if let Some(ahead) = self.ahead {
+                        let elapsed = now.since(self.acquired);
+                        fleet.record_first_time(endpoint, self.size.prompt, ahead, elapsed, now);
+                    }
+                }
                 Some(request) => {
                     self.board.notify_owner(request, |request| Message::First(request, self.load))
                 }
@@ -564,7 +574,10 @@
     let size = waiter.size;
     fleet.start(&choice.endpoint, size);
     fleet.take_token(&choice.endpoint, now);
-    Some((waiter.decision, Slot::new(board, service, size, choice)))
+    let ahead = fleet.prefill_ahead(&choice.endpoint, now);
+    let mut slot = Slot::new(board, service, size, choice);
+    slot.ahead = ahead;
+    Some((waiter.decision, slot))
 }
 
 /// Expires requests past their deadline and retries the dispatch of the others.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod history;
 pub mod holder;
 pub mod journal;
+pub mod learning;
 pub mod lifecycle;
 pub mod limits;
 pub mod memory;
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -449,7 +449,9 @@
         "version" => version.get(), "before" => before.map(Version::get),
         "routes" => configuration.len(), "from_node" => document.is_some(),
         "announced_ms" => board.overdue.borrow().age(board.now()).map(crate::reply::millis));
-    *board.configuration.borrow_mut() = Some(Rc::new(configuration));
+    let configuration = Rc::new(configuration);
+    let before = board.configuration.replace(Some(Rc::clone(&configuration)));
+    crate::learning::apply(board, &configuration, before.as_deref());
     board.overdue.borrow_mut().apply(version);
     let document = document.map_or_else(|| Document::new(version, value), Ok)?;
     board.library.borrow_mut().set_configuration(document);
--- /dev/null
+++ b/crates/sched/src/capacity.rs
@@ -0,0 +1,196 @@
+//! Estimates of what the endpoints of a service can do, learned from their responses.
+//!
+//! Load: endpoints of one service differ in speed by a factor of five, and engines of different
+//! deployments differ in the time that they take to read a prompt. A constant of one engine
+//! understates the prefill of a slower one, so that prompts queue inside its endpoints although
+//! others have room.
+//!
+//! *Prefill.* [`Service`] fits a line through the times to a first event against the prompt tokens
+//! ahead, over all endpoints of the service and divided by their factors; its slope is the time per
+//! prompt token. [`Endpoint`] keeps the factor of one endpoint. Prompts of other nodes that were not
+//! known at dispatch only add to a time, so times above the line weigh less than those below it.
+//! Prompts ahead of the request may be partly read already, so that a time weighs by the part of the
+//! tokens that are the request's own.
+//!
+//! The slowdown that is known from the gaps between events is the factor of an endpoint without
+//! recent prompts, but is not used beside them: a long prompt stretches the gaps and so the slowdown
+//! until its own first event, which made the learned time half of the actual one in the replay.
+//!
+//! Estimates of an endpoint age, so that an endpoint without traffic is tried again.
+
+use std::time::Duration;
+use units::{Time, Tokens};
+
+/// Samples over which a line's memory extends; follows a change within some seconds of traffic.
+const LINE_MEMORY: f64 = 200.0;
+/// Weight of the samples before a line is used.
+const MIN_LINE_WEIGHT: f64 = 10.0;
+/// Weight of a sample above the line; one below it has the weight 1.
+const ABOVE_WEIGHT: f64 = 0.33;
+/// Limit of a sample, as a multiple of the line's value.
+const MAX_OUTLIER: f64 = 3.0;
+/// Spread of the prompt tokens from which a slope is known, as a standard deviation: the prefill of
+/// about 2 ms on the known engines.
+const MIN_TOKEN_SPREAD: f64 = 200.0;
+/// Bounds of the time per prompt token, in ms; ten times wider than the known engines.
+const TOKEN_MS_BOUNDS: (f64, f64) = (1.0 / 1_000.0, 1.0 / 6.0);
+/// Prefill from which a sample tells an endpoint's factor, in ms: about two steps of an engine.
+const MIN_PREFILL_MS: f64 = 6.0;
+/// Weight of a sample in an endpoint's prefill factor; converges within about ten prompts.
+const PREFILL_WEIGHT: f64 = 0.15;
+/// Bounds of an endpoint's prefill factor; wider than the speeds of the data sheets, 0.55 to 2.8.
+const PREFILL_BOUNDS: (f64, f64) = (0.3, 8.0);
+/// Half-life of an endpoint's factor, in seconds.
+const FACTOR_HALF_LIFE_S: f64 = 10.0;
+
+#[allow(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+fn count(tokens: Tokens) -> f64 {
+    tokens.0 as f64
+}
+
+fn ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+fn decay(age: Duration, half_life_s: f64) -> f64 {
+    0.5f64.powf(age.as_secs_f64() / half_life_s)
+}
+
+/// First event of a stream.
+#[derive(Debug, Clone, Copy)]
+pub struct First {
+    /// Prompt tokens of the request.
+    pub own: Tokens,
+    /// Prompt tokens that the endpoint had to read at dispatch, including those of the request.
+    pub ahead: Tokens,
+    /// Time since the dispatch.
+    pub elapsed: Duration,
+    /// Slowdown of the endpoint relative to its service, by the gaps of its streams.
+    pub slowdown: f64,
+}
+
+/// Line through samples, with exponential forgetting.
+#[derive(Debug, Clone, Copy, Default)]
+struct Line {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Line {
+    /// Adds a sample; values far above the line are limited and all values above it weigh less.
+    fn add(&mut self, x: f64, y: f64, weight: f64, spread: f64) {
+        let expected = self.fit(spread).map(|(base, slope)| base + slope * x);
+        let above = expected.is_some_and(|e| y > e);
+        let weight = if above { weight * ABOVE_WEIGHT } else { weight };
+        let y = expected.map_or(y, |e| y.min(MAX_OUTLIER * e));
+        let keep = 1.0 - 1.0 / LINE_MEMORY;
+        for (sum, sample) in [
+            (&mut self.weight, 1.0),
+            (&mut self.x, x),
+            (&mut self.y, y),
+            (&mut self.xx, x * x),
+            (&mut self.xy, x * y),
+        ] {
+            *sum = *sum * keep + weight * sample;
+        }
+    }
+
+    /// Value at 0 and slope, once the samples' positions spread enough.
+    fn fit(&self, spread: f64) -> Option<(f64, f64)> {
+        if self.weight < MIN_LINE_WEIGHT {
+            return None;
+        }
+        let (x, y) = (self.x / self.weight, self.y / self.weight);
+        let variance = self.xx / self.weight - x * x;
+        if variance < spread * spread {
+            return None;
+        }
+        let slope = ((self.xy / self.weight - x * y) / variance).max(0.0);
+        let base = y - slope * x;
+        // A line below 0 comes from a few large samples; one through 0 is closer to all of them.
+        Some(if base < 0.0 { (0.0, self.xy / self.xx) } else { (base, slope) })
+    }
+}
+
+/// Factor by which an endpoint differs from its service; ages towards a value that is known
+/// otherwise.
+#[derive(Debug, Clone, Copy, Default)]
+struct Factor {
+    log: f64,
+    trust: f64,
+    at: Time,
+}
+
+impl Factor {
+    fn trust_at(&self, now: Time) -> f64 {
+        self.trust * decay(now.since(self.at), FACTOR_HALF_LIFE_S)
+    }
+
+    fn at(&self, otherwise: f64, now: Time) -> f64 {
+        let trust = self.trust_at(now);
+        if trust <= 0.0 {
+            return otherwise;
+        }
+        (trust * self.log + (1.0 - trust) * otherwise.ln()).exp()
+    }
+
+    fn add(&mut self, sample: f64, weight: f64, now: Time) {
+        // The first samples count more, since there is little to average them with.
+        let trust = self.trust_at(now);
+        let weight = weight / (weight + trust * (1.0 - weight));
+        self.log += weight * (sample.ln() - self.log);
+        self.trust = trust + weight * (1.0 - trust);
+        self.at = now;
+    }
+}
+
+/// Estimates of a service.
+#[derive(Debug, Clone, Default)]
+pub struct Service {
+    prefill: Line,
+}
+
+impl Service {
+    /// Time per prompt token at an endpoint of usual speed, in ms, once it is known.
+    #[must_use]
+    pub fn token_ms(&self) -> Option<f64> {
+        let (_, slope) = self.prefill.fit(MIN_TOKEN_SPREAD)?;
+        Some(slope.clamp(TOKEN_MS_BOUNDS.0, TOKEN_MS_BOUNDS.1))
+    }
+
+    /// Records a first event at one of the service's endpoints.
+    pub fn record_first(&mut self, endpoint: &mut Endpoint, first: First, now: Time) {
+        let tokens = count(first.ahead);
+        let elapsed = ms(first.elapsed);
+        let factor = endpoint.prefill_factor(first.slowdown, now);
+        if !(elapsed / factor).is_finite() {
+            return;
+        }
+        if let Some((base, slope)) = self.prefill.fit(MIN_TOKEN_SPREAD)
+            && slope * tokens >= MIN_PREFILL_MS
+        {
+            let sample = elapsed / (base + slope * tokens);
+            let sample = sample.clamp(PREFILL_BOUNDS.0, PREFILL_BOUNDS.1);
+            endpoint.prefill.add(sample, PREFILL_WEIGHT, now);
+        }
+        let weight = if tokens > 0.0 { (count(first.own) / tokens).min(1.0) } else { 1.0 };
+        self.prefill.add(tokens, elapsed / factor, weight, MIN_TOKEN_SPREAD);
+    }
+}
+
+/// Estimates of one endpoint, relative to its service.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Endpoint {
+    prefill: Factor,
+}
+
+impl Endpoint {
+    /// Factor of its time per prompt token; `slowdown` is known from other observations.
+    #[must_use]
+    pub fn prefill_factor(&self, slowdown: f64, now: Time) -> f64 {
+        self.prefill.at(slowdown, now)
+    }
+}
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -44,10 +44,12 @@
 //!   peers' requests, as far as this node knows.
 
 mod endpoint;
+mod learning;
 mod limit;
 mod slots;
 mod types;
 
+pub use learning::Estimate;
 pub use limit::share;
 pub use types::{Capacity, Choice, Distance, Limit, Listing, Load, Outcome, Query, Size, Usage};
 
@@ -62,7 +64,7 @@
 /// Time to a first response without prefill, in ms: three steps of an engine.
 const BASE_MS: f64 = 10.0;
 /// Prefill time of a prompt token on an endpoint of usual speed, in ms; from the engines' data
-/// sheet.
+/// sheet. Used until a service has learned its own, see [`crate::capacity`].
 const PREFILL_TOKEN_MS: f64 = 1.0 / 112.0;
 /// Limit of an endpoint's pending prefill, in ms of prefill time: the shortest target for a first
 /// event, less the network latency and an engine's step.
@@ -105,6 +107,8 @@
     owned: BTreeSet<ServiceId>,
     /// Limits of endpoints that are not listed yet, with the start of their process.
     early_limits: HashMap<EndpointId, (Option<u64>, Limit)>,
+    /// Estimates of the services for which [`Self::set_learning`] is on.
+    learning: learning::Learning,
 }
 
 impl Default for Fleet {
@@ -117,6 +121,7 @@
             service_slots: HashMap::new(),
             owned: BTreeSet::new(),
             early_limits: HashMap::new(),
+            learning: learning::Learning::new(),
         }
     }
 }
@@ -304,7 +309,7 @@
         let pending_prefill = tokens(usage.pending_prefill);
         let slowdown = self.slowdown(endpoint);
         let prefill_ms =
-            (pending_prefill + tokens(query.size.prompt)) * PREFILL_TOKEN_MS * slowdown;
+            (pending_prefill + tokens(query.size.prompt)) * self.token_ms(endpoint, now) * slowdown;
         (pending_prefill <= 0.0 || prefill_ms <= MAX_PENDING_PREFILL_MS)
             && (slowdown <= MAX_LONG_PROMPT_SLOWDOWN
                 || endpoint.keeps_target_gap(query.target_gap, prefill_ms))
@@ -337,7 +342,7 @@
         let usage = endpoint.load(self.usage_ttl, now);
         let slowdown = self.slowdown(endpoint) * endpoint.reported_slowdown(now);
         let prompt = tokens(query.size.prompt);
-        let prefill = (tokens(usage.pending_prefill) + prompt) * PREFILL_TOKEN_MS;
+        let prefill = (tokens(usage.pending_prefill) + prompt) * self.token_ms(endpoint, now);
         let batch_growth =
             BATCH_GROWTH_MS * f64::from(usage.in_flight) / f64::from(endpoint.slots());
         let output = self.slowdown(endpoint) * tokens(query.size.output);
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -1,6 +1,7 @@
 //! State of one endpoint as known to this node, learned from the endpoint's responses.
 
 use super::{Distance, Limit, Listing, Load, Outcome, Size, Usage, limit::Bucket};
+use crate::capacity;
 use std::{collections::HashMap, time::Duration};
 use units::{InstanceId, Time, Tokens};
 
@@ -73,6 +74,8 @@
     pub(super) limit_at: Option<Time>,
     /// When the limit last changed.
     pub(super) limit_changed: Option<Time>,
+    /// Estimates, where its service learns.
+    pub(super) learned: capacity::Endpoint,
 }
 
 impl Endpoint {
@@ -97,6 +100,7 @@
             bucket: None,
             limit_at: None,
             limit_changed: None,
+            learned: capacity::Endpoint::default(),
         }
     }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub mod backlog;
 pub mod budget;
+pub mod capacity;
 pub mod cell;
 pub mod fair;
 pub mod fleet;
