--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -71,6 +71,9 @@
     EndpointJoined = 303;
     /// An endpoint limits the requests that it takes from all nodes, or does so no longer.
     EndpointLimit = 304;
+    /// The learned concurrency of an endpoint fell below its slots, or it uses all of them well
+    /// again: limit before and after, slots, relative speed, age of the last call.
+    EndpointConcurrency = 305;
     /// This gateway took over a cell of endpoints.
     CellTaken = 310;
     /// This gateway gave a cell of endpoints to another owner.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -12,7 +12,7 @@
     announce,
     blackboard::Blackboard,
     digest::{Datagram, Digest, Load, Spent, short_hash},
-    directory, dispatcher, holder, limits, owner,
+    directory, dispatcher, holder, learning, limits, owner,
     permit::Message,
     quarantine,
     watch::REAPPEARANCE_TIME,
@@ -214,6 +214,7 @@
     fleet.set_owned(owned);
     fleet.allocate(share, interval, rand::random, now);
     drop(fleet);
+    learning::report(board);
     limits::update(board);
     dispatcher::dispatch_all(board);
 }
--- a/crates/sched/src/capacity.rs
+++ b/crates/sched/src/capacity.rs
@@ -24,8 +24,14 @@
 //! and fades as fast. Deviations that chance explains count as none, so that nodes that see the same
 //! do not all turn to the endpoint whose last calls were short.
 //!
+//! *Concurrency.* See [`concurrency`]; for plain calls only. The gaps of streams grow with the prompts
+//! that are read beside them, which is not the concurrency's doing.
+//!
 //! Estimates of an endpoint age, so that an endpoint without traffic is tried again.
 
+mod concurrency;
+
+use concurrency::Curve;
 use std::time::Duration;
 use units::{Time, Tokens};
 
@@ -211,6 +217,15 @@
         1.0 + (beyond(self.recent / self.usual, RECENT_TOLERANCE) - 1.0) * fresh
     }
 
+    /// Recent average relative to the usual one, with what chance explains.
+    fn drift(&self, now: Time) -> f64 {
+        if self.trust <= 0.0 {
+            return 1.0;
+        }
+        let fresh = decay(now.since(self.at), RECENT_HALF_LIFE_S);
+        1.0 + (self.recent / self.usual - 1.0).max(0.0) * fresh
+    }
+
     fn add(&mut self, sample: f64, now: Time) {
         let age = now.since(self.at);
         let trust = self.trust * decay(age, FACTOR_HALF_LIFE_S);
@@ -271,8 +286,17 @@
         Some(self.hold.fit(MIN_CONCURRENCY_SPREAD).unwrap_or((usual, 0.0)))
     }
 
-    /// Records the hold time of a plain call that ran beside `others`.
-    pub fn record_hold(&mut self, endpoint: &mut Endpoint, others: u32, hold: Duration, now: Time) {
+    /// Records the hold time of a plain call that ran beside `others` on average. Returns a change of
+    /// the endpoint's concurrency limit.
+    pub fn record_hold(
+        &mut self,
+        endpoint: &mut Endpoint,
+        others: u32,
+        hold: Duration,
+        slots: u32,
+        now: Time,
+    ) -> Option<LimitChange> {
+        let concurrency = others.saturating_add(1);
         let others = f64::from(others);
         let hold = ms(hold);
         let speed = endpoint.usual_speed(now);
@@ -281,14 +305,28 @@
             endpoint.hold.add(sample.clamp(HOLD_BOUNDS.0, HOLD_BOUNDS.1), now);
         }
         self.hold.add_evenly(others, hold / speed);
+        // Calls pile up at an endpoint while its neighbours slow it down; that is not its own load.
+        let hold = hold / endpoint.hold.drift(now);
+        let (before, after) = endpoint.curve.record(concurrency, hold, slots, now)?;
+        Some(LimitChange { before, after })
     }
 }
 
+/// Change of an endpoint's concurrency limit; none means all its slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitChange {
+    /// Limit before.
+    pub before: Option<u32>,
+    /// Limit now.
+    pub after: Option<u32>,
+}
+
 /// Estimates of one endpoint, relative to its service.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Endpoint {
     prefill: Factor,
     hold: Hold,
+    curve: Curve,
 }
 
 impl Endpoint {
@@ -311,4 +349,17 @@
         let speed = beyond(self.usual_speed(now), SPEED_TOLERANCE) * self.hold.change(now);
         speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
     }
+
+    /// Concurrency beyond which a further plain call costs the others more than it gains; none if it
+    /// uses all its slots well, or is not known.
+    #[must_use]
+    pub fn limit(&self, now: Time) -> Option<u32> {
+        self.curve.limit(now)
+    }
+
+    /// Time since the last plain call.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        (self.hold.trust > 0.0).then(|| now.since(self.hold.at))
+    }
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -53,6 +53,7 @@
 pub use limit::share;
 pub use types::{Capacity, Choice, Distance, Limit, Listing, Load, Outcome, Query, Size, Usage};
 
+use crate::capacity::LimitChange;
 use endpoint::{Endpoint, SLOWDOWN_BOUNDS};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -109,6 +110,8 @@
     early_limits: HashMap<EndpointId, (Option<u64>, Limit)>,
     /// Estimates of the services for which [`Self::set_learning`] is on.
     learning: learning::Learning,
+    /// Changes of learned limits that were not taken yet.
+    limit_changes: Vec<(EndpointId, LimitChange)>,
 }
 
 impl Default for Fleet {
@@ -122,6 +125,7 @@
             owned: BTreeSet::new(),
             early_limits: HashMap::new(),
             learning: learning::Learning::new(),
+            limit_changes: Vec::new(),
         }
     }
 }
@@ -255,7 +259,8 @@
             }
             let in_flight = endpoint.load(self.usage_ttl, now).in_flight;
             let is_open = endpoint.is_within_limit(now);
-            let free = if is_open { endpoint.slots().saturating_sub(in_flight) } else { 0 };
+            let free =
+                if is_open { endpoint.usable_slots(now).saturating_sub(in_flight) } else { 0 };
             capacity.slots += endpoint.slots();
             capacity.free += free;
             if endpoint.distance == Distance::SameZone {
@@ -300,7 +305,7 @@
             return false;
         }
         let usage = endpoint.load(self.usage_ttl, now);
-        if usage.in_flight >= endpoint.slots()
+        if usage.in_flight >= endpoint.usable_slots(now)
             || (endpoint.allocated == 0 && !endpoint.admits_unallocated(query.streamed))
             || endpoint.own.in_flight >= query.max_connections
         {
@@ -516,7 +521,7 @@
             if !endpoint.is_leaving() {
                 let taken = endpoint.load(self.usage_ttl, now).in_flight;
                 slots.slots += endpoint.slots();
-                slots.free += endpoint.slots().saturating_sub(taken);
+                slots.free += endpoint.usable_slots(now).saturating_sub(taken);
             }
         }
     }
@@ -544,8 +549,9 @@
                 endpoint.allocated = if is_own { u32::MAX } else { 0 };
                 continue;
             }
-            let free =
-                endpoint.slots().saturating_sub(endpoint.load(self.usage_ttl, now).in_flight);
+            let free = endpoint
+                .usable_slots(now)
+                .saturating_sub(endpoint.load(self.usage_ttl, now).in_flight);
             let turnover = endpoint.turnover(interval);
             let share = share(endpoint.distance).clamp(0.0, 1.0);
             let slots =
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -108,6 +108,11 @@
         if self.listing.slots == 0 { UNKNOWN_SLOTS } else { self.listing.slots.min(MAX_SLOTS) }
     }
 
+    /// Slots within its learned concurrency limit, if it has one.
+    pub(super) fn usable_slots(&self, now: Time) -> u32 {
+        self.learned.limit(now).map_or(self.slots(), |limit| limit.min(self.slots()))
+    }
+
     pub(super) fn load(&self, ttl: Duration, now: Time) -> Usage {
         let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < ttl);
         fresh.fold(self.own, |sum, (usage, _)| Usage {
--- a/crates/sched/src/fleet/learning.rs
+++ b/crates/sched/src/fleet/learning.rs
@@ -4,10 +4,13 @@
 //! constants.
 
 use super::{Endpoint, Fleet, PREFILL_TOKEN_MS, Usage};
-use crate::capacity::{First, Service};
+use crate::capacity::{First, LimitChange, Service};
 use std::{collections::HashMap, time::Duration};
 use units::{EndpointId, ServiceId, Time, Tokens};
 
+/// Maximum number of changes of limits that are kept for the log.
+const MAX_LIMIT_CHANGES: usize = 64;
+
 /// Estimates of the services that learn.
 pub(super) type Learning = HashMap<ServiceId, Service>;
 
@@ -19,6 +22,10 @@
     /// Present duration of plain calls relative to the service's, as far as it exceeds what chance
     /// explains.
     pub speed: f64,
+    /// Concurrency limit; none for all slots.
+    pub limit: Option<u32>,
+    /// Time since the last plain call that it was learned from.
+    pub age: Option<Duration>,
 }
 
 impl Fleet {
@@ -39,6 +46,12 @@
         self.learning.contains_key(service)
     }
 
+    /// Whether any service learns.
+    #[must_use]
+    pub fn is_learning(&self) -> bool {
+        !self.learning.is_empty()
+    }
+
     /// Load of an endpoint at a dispatch, including the peers' requests and the one that was just sent,
     /// if its service learns.
     #[must_use]
@@ -71,15 +84,35 @@
     /// Records for how long a completed plain call held its slot, with the load at its dispatch.
     /// Streams, which have gaps, differ too much in length.
     pub fn record_plain(&mut self, id: &EndpointId, at_dispatch: Usage, hold: Duration, now: Time) {
-        let others = at_dispatch.in_flight.saturating_sub(1);
+        let ttl = self.usage_ttl;
         let Some(endpoint) = self.endpoints.get_mut(id).filter(|e| e.gap_ms.is_none()) else {
             return;
         };
-        if let Some(service) = self.learning.get_mut(&endpoint.listing.service) {
-            service.record_hold(&mut endpoint.learned, others, hold, now);
+        let Some(service) = self.learning.get_mut(&endpoint.listing.service) else { return };
+        // The call itself is in flight still.
+        let in_flight =
+            at_dispatch.in_flight.max(1).midpoint(endpoint.load(ttl, now).in_flight.max(1));
+        let hold = hold.div_f64(endpoint.reported_slowdown(now).max(1.0));
+        let slots = endpoint.slots();
+        let change = service.record_hold(&mut endpoint.learned, in_flight - 1, hold, slots, now);
+        if let Some(change) = change
+            && self.limit_changes.len() < MAX_LIMIT_CHANGES
+        {
+            self.limit_changes.push((id.clone(), change));
         }
     }
 
+    /// Number of endpoints with a concurrency limit below their slots.
+    #[must_use]
+    pub fn limited_concurrency(&self, now: Time) -> usize {
+        self.endpoints.values().filter(|endpoint| endpoint.learned.limit(now).is_some()).count()
+    }
+
+    /// Changes of endpoints' concurrency limits since the last call.
+    pub fn take_limit_changes(&mut self) -> Vec<(EndpointId, LimitChange)> {
+        std::mem::take(&mut self.limit_changes)
+    }
+
     /// Learned time that a plain call takes at an endpoint, in ms; 0 if it is not known.
     pub(super) fn plain_cost(&self, endpoint: &Endpoint, in_flight: u32, now: Time) -> f64 {
         if endpoint.gap_ms.is_some() {
@@ -110,6 +143,7 @@
         let service = self.learning.get(&endpoint.listing.service)?;
         let token_ms =
             service.token_ms().map(|_| self.token_ms(endpoint, now) * self.slowdown(endpoint));
-        Some(Estimate { token_ms, speed: endpoint.learned.speed(now) })
+        let (speed, limit) = (endpoint.learned.speed(now), endpoint.learned.limit(now));
+        Some(Estimate { token_ms, speed, limit, age: endpoint.learned.age(now) })
     }
 }
--- a/crates/sched/tests/capacity.rs
+++ b/crates/sched/tests/capacity.rs
@@ -106,6 +106,7 @@
     per_second: 400.0,
     phase: plain::noisy,
     nodes: 1,
+    wave: false,
     reports: Reports::True,
     owner_change: None,
     end_ms: 12_000,
@@ -316,7 +317,7 @@
     // Near saturation with noise, times differ by a tenth from seed to seed.
     let phases: [(&str, plain::Phase, u64); 5] = [
         ("steady", plain::steady, 1),
-        ("noisy", plain::noisy, 8),
+        ("noisy", plain::noisy, 20),
         ("300 ms", slow_300_ms, 2),
         ("for good", slow_for_good, 2),
         ("at start", slow_at_start, 2),
@@ -411,3 +412,76 @@
     assert!(speed(2_000) > 1.8);
     assert!(speed(62_000) < 1.1);
 }
+
+/// Above half of their slots, each further call slows the others down by so much that fewer calls end:
+/// at a crest all slots were taken, and remained so.
+#[test]
+fn calls_above_a_knee_are_held_back() {
+    let mut sums = [(vec![], vec![]), (vec![], vec![])];
+    for (speeds, phase) in [(EQUAL, plain::steady as plain::Phase), (SPEEDS, plain::noisy)] {
+        for seed in 0..4 {
+            let case = plain::Case { knee: 3, growth: 0.8, wave: true, end_ms: 24_000, ..PLAIN };
+            let case = plain::Case { speeds, phase, seed, per_second: 300.0, ..case };
+            for (policy, sums) in [Policy::Fixed, Policy::Learning].into_iter().zip(&mut sums) {
+                let result = plain::replay(&case, policy);
+                sums.0.push(mean(&result.times));
+                sums.1.push(result.late(200.0));
+            }
+        }
+    }
+    let [fixed, learning] = sums.map(|(times, late)| (mean(&times), mean(&late)));
+    println!("knee at 3 of 6: fixed {fixed:.3?}, learning {learning:.3?}");
+    assert!(learning.0 < 0.8 * fixed.0 && learning.1 < fixed.1, "{learning:?}, {fixed:?}");
+}
+
+/// Guards against limits that slow phases cause where there is no knee.
+#[test]
+fn endpoints_without_a_knee_keep_all_slots() {
+    for reports in [Reports::True, Reports::None] {
+        for per_second in [400.0, 500.0, 550.0] {
+            let mut changes = 0;
+            for seed in 0..4 {
+                let case = plain::Case { speeds: EQUAL, reports, seed, per_second, ..PLAIN };
+                let mut result = plain::replay(&case, Policy::Learning);
+                changes += result.fleets[0].take_limit_changes().len();
+            }
+            println!("{per_second}/s {reports:?}: {changes} changes of limits");
+            assert!(changes <= 2, "{changes} changes in 48 s");
+        }
+    }
+}
+
+/// Guards against a limit that stays after the endpoint has recovered, and one that swings.
+#[test]
+fn limit_falls_within_a_second_of_evidence_and_ends_after_recovery() {
+    let mut fleet = fleet(1, 6);
+    fleet.set_learning(&service(), true);
+    let none = Size { prompt: Tokens(0), output: Tokens(0) };
+    let mut limits = vec![];
+    let mut running = 0;
+    for ms in (0..30_000_u64).step_by(20) {
+        let now = Time::from_millis(ms);
+        // Four seconds with few calls, then as many as there may be; recovered after 14 s.
+        let allowed = fleet.estimate(&id(0), now).unwrap().limit.unwrap_or(6);
+        let concurrency = if ms < 4_000 { 1 + (ms as u32 / 20) % 3 } else { allowed };
+        while running < concurrency {
+            fleet.start(&id(0), none);
+            running += 1;
+        }
+        while running > concurrency {
+            fleet.finish(&id(0), none, true, Outcome::Completed, now);
+            running -= 1;
+        }
+        let hold = if concurrency > 3 && ms < 14_000 { 260 } else { 60 };
+        let load = fleet.dispatch_load(&id(0), now).unwrap();
+        fleet.record_plain(&id(0), load, Duration::from_millis(hold), now);
+        limits.push(fleet.estimate(&id(0), now).unwrap().limit);
+    }
+    let first = limits.iter().position(Option::is_some).unwrap() * 20;
+    let changes = limits.windows(2).filter(|pair| pair[0] != pair[1]).count();
+    println!("first limit at {first} ms; {changes} changes");
+    assert!(first < 6_000, "{first} ms");
+    assert!(limits[first / 20..14_000 / 20].iter().all(|l| l.is_some_and(|l| l <= 4)));
+    assert!(limits[23_000 / 20..].iter().all(Option::is_none));
+    assert!(changes <= 10, "{changes}");
+}
--- a/crates/sched/tests/capacity/plain.rs
+++ b/crates/sched/tests/capacity/plain.rs
@@ -50,6 +50,8 @@
     pub reports: Reports,
     /// When another node, which knows nothing, takes the place of the first.
     pub owner_change: Option<u32>,
+    /// Whether the load alternates between its crest and three tenths of it.
+    pub wave: bool,
     pub end_ms: u32,
     pub seed: u64,
 }
@@ -156,7 +158,8 @@
                 }
             }
         }
-        due += case.per_second / 1_000.0 * (0.5 + unit(&mut rng));
+        let wave = if case.wave && ms % 8_000 < 4_000 { 0.3 } else { 1.0 };
+        due += wave * case.per_second / 1_000.0 * (0.5 + unit(&mut rng));
         while due >= 1.0 {
             due -= 1.0;
             let node = (unit(&mut rng) * case.nodes as f64) as usize;
