--- a/crates/sched/src/capacity.rs
+++ b/crates/sched/src/capacity.rs
@@ -286,17 +286,8 @@
         Some(self.hold.fit(MIN_CONCURRENCY_SPREAD).unwrap_or((usual, 0.0)))
     }
 
-    /// Records the hold time of a plain call that ran beside `others` on average. Returns a change of
-    /// the endpoint's concurrency limit.
-    pub fn record_hold(
-        &mut self,
-        endpoint: &mut Endpoint,
-        others: u32,
-        hold: Duration,
-        slots: u32,
-        now: Time,
-    ) -> Option<LimitChange> {
-        let concurrency = others.saturating_add(1);
+    /// Records the hold time of a plain call that was sent beside `others`.
+    pub fn record_hold(&mut self, endpoint: &mut Endpoint, others: u32, hold: Duration, now: Time) {
         let others = f64::from(others);
         let hold = ms(hold);
         let speed = endpoint.usual_speed(now);
@@ -305,10 +296,6 @@
             endpoint.hold.add(sample.clamp(HOLD_BOUNDS.0, HOLD_BOUNDS.1), now);
         }
         self.hold.add_evenly(others, hold / speed);
-        // Calls pile up at an endpoint while its neighbours slow it down; that is not its own load.
-        let hold = hold / endpoint.hold.drift(now);
-        let (before, after) = endpoint.curve.record(concurrency, hold, slots, now)?;
-        Some(LimitChange { before, after })
     }
 }
 
@@ -350,6 +337,23 @@
         speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
     }
 
+    /// Records the hold time of a plain call against the mean concurrency, after
+    /// [`Service::record_hold`]. `slowdown` is what the endpoint reported. Returns a change of the
+    /// limit.
+    pub fn record_concurrency(
+        &mut self,
+        concurrency: u32,
+        hold: Duration,
+        slowdown: f64,
+        slots: u32,
+        now: Time,
+    ) -> Option<LimitChange> {
+        // Calls pile up at an endpoint while its neighbours slow it down; that is not its own load.
+        let hold = ms(hold) / slowdown.max(self.hold.drift(now));
+        let (before, after) = self.curve.record(concurrency, hold, slots, now)?;
+        Some(LimitChange { before, after })
+    }
+
     /// Concurrency beyond which a further plain call costs the others more than it gains; none if it
     /// uses all its slots well, or is not known.
     #[must_use]
--- a/crates/sched/src/capacity/concurrency.rs
+++ b/crates/sched/src/capacity/concurrency.rs
@@ -15,9 +15,9 @@
 /// Power of the hold time in a score. At 1 an endpoint whose throughput stays the same would have no
 /// best concurrency; at 2 one that gains half of each further call would be limited.
 const HOLD_POWER: f64 = 1.25;
-/// Ratio of scores from which a lower concurrency is clearly better: chance gives 1.2 for means over
-/// 40 calls whose work varies as much as its mean.
-const CLEARLY_BETTER: f64 = 1.25;
+/// Ratio of scores from which a lower concurrency is clearly better. With 1.25, slow phases set limits
+/// at endpoints without a knee.
+const CLEARLY_BETTER: f64 = 1.5;
 /// Calls from which the mean of a concurrency is used. With 15 calls, of the last seconds only, slow
 /// phases of 600 ms set limits at endpoints without a knee.
 const MIN_CALLS: f64 = 40.0;
--- a/crates/sched/src/fleet/learning.rs
+++ b/crates/sched/src/fleet/learning.rs
@@ -90,11 +90,12 @@
         };
         let Some(service) = self.learning.get_mut(&endpoint.listing.service) else { return };
         // The call itself is in flight still.
-        let in_flight =
-            at_dispatch.in_flight.max(1).midpoint(endpoint.load(ttl, now).in_flight.max(1));
-        let hold = hold.div_f64(endpoint.reported_slowdown(now).max(1.0));
-        let slots = endpoint.slots();
-        let change = service.record_hold(&mut endpoint.learned, in_flight - 1, hold, slots, now);
+        let (first, last) =
+            (at_dispatch.in_flight.max(1), endpoint.load(ttl, now).in_flight.max(1));
+        let (slots, slowdown) = (endpoint.slots(), endpoint.reported_slowdown(now));
+        let learned = &mut endpoint.learned;
+        service.record_hold(learned, first - 1, hold, now);
+        let change = learned.record_concurrency(first.midpoint(last), hold, slowdown, slots, now);
         if let Some(change) = change
             && self.limit_changes.len() < MAX_LIMIT_CHANGES
         {
