--- a/crates/sched/src/capacity.rs
+++ b/crates/sched/src/capacity.rs
@@ -24,7 +24,7 @@
 //! and fades as fast. Deviations that chance explains count as none, so that nodes that see the same
 //! do not all turn to the endpoint whose last calls were short.
 //!
-//! *Concurrency.* See [`concurrency`]; for plain calls only. The gaps of streams grow with the prompts
+//! *Concurrency.* See `capacity::concurrency`; for plain calls only. The gaps of streams grow with the prompts
 //! that are read beside them, which is not the concurrency's doing.
 //!
 //! Estimates of an endpoint age, so that an endpoint without traffic is tried again.
