--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -11,6 +11,9 @@
 /// Target latency above which the plain calls of a route count as long. A call usually takes up to a
 /// quarter of its target, and calls of up to 50 ms need no allocated slot, see [`sched::fleet`].
 const LONG_CALL_TARGET: Duration = Duration::from_millis(200);
+/// Ratio of the longest to the shortest target of a service's streams above which its endpoints'
+/// speed is learned.
+const TARGET_RATIO: u32 = 2;
 
 /// How often requests of a route may run, and how they are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,10 +77,10 @@
 }
 
 impl Route {
-    /// Whether requests hold their slot for so long that nodes cannot share the slots by digests: a
-    /// large cluster takes seconds to tell all nodes which slots are in use.
-    fn holds_slots(&self) -> bool {
-        self.kind.is_stream() || self.target_latency.is_some_and(|time| time > LONG_CALL_TARGET)
+    /// Whether its plain calls are long.
+    fn has_long_calls(&self) -> bool {
+        let is_long = self.target_latency.is_some_and(|time| time > LONG_CALL_TARGET);
+        is_long && !self.kind.is_stream()
     }
 
     /// Service for a request, chosen by weight; `draw` is uniform over all `u64` values.
@@ -151,6 +154,10 @@
     connections: HashMap<ServiceId, u32>,
     /// Services whose slots are given out by owners in a large cluster.
     owned: BTreeSet<ServiceId>,
+    /// Services with long plain calls.
+    long_calls: BTreeSet<ServiceId>,
+    /// Shortest and longest target latency of the streams of each service.
+    stream_targets: HashMap<ServiceId, (Duration, Duration)>,
     /// Limits on callers' requests.
     pub limits: Limits,
 }
@@ -165,8 +172,20 @@
     /// Adds a route for a host.
     #[must_use]
     pub fn with_route(mut self, host: &str, route: Route) -> Self {
-        if route.holds_slots() {
-            self.owned.extend(route.backends.iter().map(|backend| backend.service.clone()));
+        for Backend { service, .. } in &route.backends {
+            if route.has_long_calls() {
+                self.long_calls.insert(service.clone());
+            }
+            // Nodes cannot share slots that are held for long by digests: a large cluster takes
+            // seconds to tell all nodes which slots are in use.
+            if route.has_long_calls() || route.kind.is_stream() {
+                self.owned.insert(service.clone());
+            }
+            if let Some(target) = route.target_latency.filter(|_| route.kind.is_stream()) {
+                let targets =
+                    self.stream_targets.entry(service.clone()).or_insert((target, target));
+                *targets = (targets.0.min(target), targets.1.max(target));
+            }
         }
         let routes = self.routes.entry(host.to_ascii_lowercase().into()).or_default();
         let at = routes.partition_point(|known| known.prefix.len() >= route.prefix.len());
@@ -192,6 +211,22 @@
         &self.owned
     }
 
+    /// Whether the speed and concurrency of a service's endpoints are learned, see
+    /// [`sched::capacity`]: where plain calls are long, and where streams with very different targets
+    /// share the endpoints, so that long prompts and short ones compete.
+    #[must_use]
+    pub fn learns(&self, service: &ServiceId) -> bool {
+        let targets = self.stream_targets.get(service);
+        let differ = targets.is_some_and(|(least, most)| *most > *least * TARGET_RATIO);
+        differ || self.long_calls.contains(service)
+    }
+
+    /// Services of all routes.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let routes = self.routes.values().flatten();
+        routes.flat_map(|route| route.backends.iter().map(|backend| &backend.service))
+    }
+
     /// Sets the number of connections that an endpoint of a service accepts.
     #[must_use]
     pub fn with_connections(mut self, service: ServiceId, connections: u32) -> Self {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -18,7 +18,7 @@
 use sched::{
     Job,
     backlog::{Backlog, Deadlines},
-    fleet::{Choice, Cohort, Fleet, Load, Outcome, Query, Size},
+    fleet::{Choice, Cohort, Fleet, Load, Outcome, Query, Size, Usage},
 };
 use std::{
     collections::HashMap,
@@ -227,6 +227,8 @@
     deadline: Option<Time>,
     /// Counts the request, if the deployment has rollouts.
     ticket: Option<Ticket>,
+    /// Load of the endpoint at dispatch, where the response is learned from.
+    at_dispatch: Option<Usage>,
     /// Selected endpoint.
     pub choice: Choice,
     /// Time at which the slot was acquired.
@@ -255,6 +257,7 @@
             permit: None,
             deadline: None,
             ticket,
+            at_dispatch: None,
             choice,
             acquired: now,
         }
@@ -315,7 +318,14 @@
                 ticket.record_response();
             }
             match self.permit {
-                None => fleet.record_first_response(&self.choice.endpoint, self.size),
+                None => {
+                    let endpoint = &self.choice.endpoint;
+                    fleet.record_first_response(endpoint, self.size);
+                    if let Some(load) = self.at_dispatch {
+                        let elapsed = now.since(self.acquired);
+                        fleet.record_first_time(endpoint, self.size.prompt, load, elapsed, now);
+                    }
+                }
                 Some(request) => {
                     self.board.notify_owner(request, |request| Message::First(request, self.load))
                 }
@@ -377,7 +387,11 @@
         let endpoint = &self.choice.endpoint;
         let mut fleet = self.board.fleet.borrow_mut();
         if self.outcome == Outcome::Completed {
-            fleet.record_hold_time(endpoint, now.since(self.acquired));
+            let hold = now.since(self.acquired);
+            fleet.record_hold_time(endpoint, hold);
+            if let Some(load) = self.at_dispatch {
+                fleet.record_plain(endpoint, load, hold, now);
+            }
         }
         if let Some(request) = self.permit {
             fleet.record_outcome(endpoint, self.outcome, now);
@@ -622,7 +636,10 @@
     fleet.start(&choice.endpoint, size);
     fleet.take_token(&choice.endpoint, now);
     let ticket = Ticket::new(board, &fleet, service, &choice.endpoint);
-    Some((waiter.decision, Slot::new(board, service, size, choice, ticket)))
+    let at_dispatch = fleet.dispatch_load(&choice.endpoint, now);
+    let mut slot = Slot::new(board, service, size, choice, ticket);
+    slot.at_dispatch = at_dispatch;
+    Some((waiter.decision, slot))
 }
 
 /// Expires requests past their deadline and retries the dispatch of the others.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod history;
 pub mod holder;
 pub mod journal;
+pub mod learning;
 pub mod lifecycle;
 pub mod limits;
 pub mod memory;
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -48,16 +48,19 @@
 
 mod cohort;
 mod endpoint;
+mod learning;
 mod limit;
 mod listing;
 mod slots;
 mod types;
 
 pub use cohort::{Cohort, Policy};
+pub use learning::Estimate;
 pub use limit::share;
 pub use listing::Listing;
 pub use types::{Capacity, Choice, Distance, Limit, Load, Outcome, Query, Size, Usage};
 
+use crate::capacity::LimitChange;
 use cohort::Role;
 use endpoint::{Endpoint, SLOWDOWN_BOUNDS};
 use std::{
@@ -70,7 +73,7 @@
 /// Time to a first response without prefill, in ms: three steps of an engine.
 const BASE_MS: f64 = 10.0;
 /// Prefill time of a prompt token on an endpoint of usual speed, in ms; from the engines' data
-/// sheet.
+/// sheet. Used until a service has learned its own, see [`crate::capacity`].
 const PREFILL_TOKEN_MS: f64 = 1.0 / 112.0;
 /// Limit of an endpoint's pending prefill, in ms of prefill time: the shortest target for a first
 /// event, less the network latency and an engine's step.
@@ -114,6 +117,10 @@
     /// Limits of endpoints that are not listed yet, with the start of their process.
     early_limits: HashMap<EndpointId, (Option<u64>, Limit)>,
     rollouts: cohort::Rollouts,
+    /// Estimates of the services for which [`Self::set_learning`] is on.
+    learning: learning::Learning,
+    /// Changes of learned limits that were not taken yet.
+    limit_changes: Vec<(EndpointId, LimitChange)>,
 }
 
 impl Default for Fleet {
@@ -127,6 +134,8 @@
             owned: BTreeSet::new(),
             early_limits: HashMap::new(),
             rollouts: cohort::Rollouts::default(),
+            learning: learning::Learning::new(),
+            limit_changes: Vec::new(),
         }
     }
 }
@@ -277,7 +286,8 @@
             }
             let in_flight = endpoint.load(self.usage_ttl, now).in_flight;
             let is_open = endpoint.is_within_limit(now) && !endpoint.is_failing_calls(now);
-            let free = if is_open { endpoint.slots().saturating_sub(in_flight) } else { 0 };
+            let free =
+                if is_open { endpoint.usable_slots(now).saturating_sub(in_flight) } else { 0 };
             capacity.slots += endpoint.slots();
             capacity.free += free;
             if endpoint.distance == Distance::SameZone {
@@ -344,7 +354,7 @@
             return false;
         }
         let usage = endpoint.load(self.usage_ttl, now);
-        if usage.in_flight >= endpoint.slots()
+        if usage.in_flight >= endpoint.usable_slots(now)
             || (endpoint.allocated == 0 && !endpoint.admits_unallocated(query.streamed))
             || endpoint.own.in_flight >= query.max_connections
         {
@@ -353,7 +363,7 @@
         let pending_prefill = tokens(usage.pending_prefill);
         let slowdown = self.slowdown(endpoint);
         let prefill_ms =
-            (pending_prefill + tokens(query.size.prompt)) * PREFILL_TOKEN_MS * slowdown;
+            (pending_prefill + tokens(query.size.prompt)) * self.token_ms(endpoint, now) * slowdown;
         (pending_prefill <= 0.0 || prefill_ms <= MAX_PENDING_PREFILL_MS)
             && (slowdown <= MAX_LONG_PROMPT_SLOWDOWN
                 || endpoint.keeps_target_gap(query.target_gap, prefill_ms))
@@ -386,13 +396,14 @@
         let usage = endpoint.load(self.usage_ttl, now);
         let slowdown = self.slowdown(endpoint) * endpoint.reported_slowdown(now);
         let prompt = tokens(query.size.prompt);
-        let prefill = (tokens(usage.pending_prefill) + prompt) * PREFILL_TOKEN_MS;
+        let prefill = (tokens(usage.pending_prefill) + prompt) * self.token_ms(endpoint, now);
         let batch_growth =
             BATCH_GROWTH_MS * f64::from(usage.in_flight) / f64::from(endpoint.slots());
         let output = self.slowdown(endpoint) * tokens(query.size.output);
         endpoint.distance.ms()
             + slowdown * (BASE_MS + prefill + batch_growth)
             + output * OUTPUT_MS
+            + self.plain_cost(endpoint, usage.in_flight, now)
             + FAILURE_MS * endpoint.failure_rate(now)
     }
 
@@ -562,7 +573,7 @@
             if !endpoint.is_leaving() {
                 let taken = endpoint.load(self.usage_ttl, now).in_flight;
                 slots.slots += endpoint.slots();
-                slots.free += endpoint.slots().saturating_sub(taken);
+                slots.free += endpoint.usable_slots(now).saturating_sub(taken);
             }
         }
     }
@@ -590,8 +601,9 @@
                 endpoint.allocated = if is_own { u32::MAX } else { 0 };
                 continue;
             }
-            let free =
-                endpoint.slots().saturating_sub(endpoint.load(self.usage_ttl, now).in_flight);
+            let free = endpoint
+                .usable_slots(now)
+                .saturating_sub(endpoint.load(self.usage_ttl, now).in_flight);
             let turnover = endpoint.turnover(interval);
             let share = share(endpoint.distance).clamp(0.0, 1.0);
             let slots =
--- a/crates/sched/src/fleet/endpoint.rs
+++ b/crates/sched/src/fleet/endpoint.rs
@@ -1,6 +1,7 @@
 //! State of one endpoint as known to this node, learned from the endpoint's responses.
 
 use super::{Distance, Limit, Listing, Load, Outcome, Size, Usage, limit::Bucket};
+use crate::capacity;
 use std::{collections::HashMap, time::Duration};
 use units::{InstanceId, Time, Tokens};
 
@@ -75,6 +76,8 @@
     pub(super) limit_at: Option<Time>,
     /// When the limit last changed.
     pub(super) limit_changed: Option<Time>,
+    /// Estimates, where its service learns.
+    pub(super) learned: capacity::Endpoint,
 }
 
 impl Endpoint {
@@ -99,6 +102,7 @@
             bucket: None,
             limit_at: None,
             limit_changed: None,
+            learned: capacity::Endpoint::default(),
         }
     }
 
@@ -106,6 +110,11 @@
         if self.listing.slots == 0 { UNKNOWN_SLOTS } else { self.listing.slots.min(MAX_SLOTS) }
     }
 
+    /// Slots within its learned concurrency limit, if it has one.
+    pub(super) fn usable_slots(&self, now: Time) -> u32 {
+        self.learned.limit(now).map_or(self.slots(), |limit| limit.min(self.slots()))
+    }
+
     pub(super) fn load(&self, ttl: Duration, now: Time) -> Usage {
         let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < ttl);
         fresh.fold(self.own, |sum, (usage, _)| Usage {
