--- a/crates/sched/tests/rollout/judge.rs
+++ b/crates/sched/tests/rollout/judge.rs
@@ -52,6 +52,16 @@
     }
 }
 
+/// Guards against a good version that one broken endpoint and a few failures elsewhere revert.
+#[test]
+fn a_few_failures_beside_one_broken_endpoint_do_not_revert_a_version() {
+    let mut report = report();
+    count(&mut report, 1, 0, Stable, 1_000, 0);
+    count(&mut report, 1, 0, Candidate, 100, 35);
+    (1..6).for_each(|number| count(&mut report, 1, number, Candidate, 100, 1 + number / 5));
+    assert_eq!(verdict(&report), None);
+}
+
 /// Guards against more than 30 bad responses of a version whose excess is not significant on any
 /// single measure: failures and slow responses count together.
 #[test]
