--- a/crates/fake-host/src/node.rs
+++ b/crates/fake-host/src/node.rs
@@ -104,6 +104,20 @@
         Self::start_with_lines(program, name, zone, store, Limits::default(), lines)
     }
 
+    /// Starts a process that learns the capacity of endpoints.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start_with_learning(
+        program: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+    ) -> Result<Self> {
+        let lines = ["", "[scheduling]\nlearned_capacity = true\n"];
+        Self::start_with_lines(program, name, zone, store, Limits::default(), lines)
+    }
+
     /// Starts a process with further lines at the start of its settings and in their table of bounds.
     fn start_with_lines(
         program: &Path,
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -11,9 +11,6 @@
 /// Target latency above which the plain calls of a route count as long. A call usually takes up to a
 /// quarter of its target, and calls of up to 50 ms need no allocated slot, see [`sched::fleet`].
 const LONG_CALL_TARGET: Duration = Duration::from_millis(200);
-/// Ratio of the longest to the shortest target of a service's streams above which its endpoints'
-/// speed is learned.
-const TARGET_RATIO: u32 = 2;
 
 /// How often requests of a route may run, and how they are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -154,10 +151,6 @@
     connections: HashMap<ServiceId, u32>,
     /// Services whose slots are given out by owners in a large cluster.
     owned: BTreeSet<ServiceId>,
-    /// Services with long plain calls.
-    long_calls: BTreeSet<ServiceId>,
-    /// Shortest and longest target latency of the streams of each service.
-    stream_targets: HashMap<ServiceId, (Duration, Duration)>,
     /// Limits on callers' requests.
     pub limits: Limits,
 }
@@ -172,20 +165,10 @@
     /// Adds a route for a host.
     #[must_use]
     pub fn with_route(mut self, host: &str, route: Route) -> Self {
-        for Backend { service, .. } in &route.backends {
-            if route.has_long_calls() {
-                self.long_calls.insert(service.clone());
-            }
-            // Nodes cannot share slots that are held for long by digests: a large cluster takes
-            // seconds to tell all nodes which slots are in use.
-            if route.has_long_calls() || route.kind.is_stream() {
-                self.owned.insert(service.clone());
-            }
-            if let Some(target) = route.target_latency.filter(|_| route.kind.is_stream()) {
-                let targets =
-                    self.stream_targets.entry(service.clone()).or_insert((target, target));
-                *targets = (targets.0.min(target), targets.1.max(target));
-            }
+        // Nodes cannot share slots that are held for long by digests: a large cluster takes seconds
+        // to tell all nodes which slots are in use.
+        if route.has_long_calls() || route.kind.is_stream() {
+            self.owned.extend(route.backends.iter().map(|backend| backend.service.clone()));
         }
         let routes = self.routes.entry(host.to_ascii_lowercase().into()).or_default();
         let at = routes.partition_point(|known| known.prefix.len() >= route.prefix.len());
@@ -211,14 +194,10 @@
         &self.owned
     }
 
-    /// Whether the speed and concurrency of a service's endpoints are learned, see
-    /// [`sched::capacity`]: where plain calls are long, and where streams with very different targets
-    /// share the endpoints, so that long prompts and short ones compete.
+    /// Whether a route leads to a service.
     #[must_use]
-    pub fn learns(&self, service: &ServiceId) -> bool {
-        let targets = self.stream_targets.get(service);
-        let differ = targets.is_some_and(|(least, most)| *most > *least * TARGET_RATIO);
-        differ || self.long_calls.contains(service)
+    pub fn uses(&self, service: &ServiceId) -> bool {
+        self.services().any(|known| known == service)
     }
 
     /// Services of all routes.
--- a/crates/relay/src/learning.rs
+++ b/crates/relay/src/learning.rs
@@ -1,4 +1,4 @@
-//! Switches the learning of endpoints' capacity, see [`sched::capacity`], by the configuration, and
+//! Switches the learning of endpoints' capacity, see [`sched::capacity`], by the settings, and
 //! reports what was learned.
 
 use crate::{blackboard::Blackboard, configuration::Configuration, reply::millis};
@@ -13,7 +13,7 @@
     let services: BTreeSet<&ServiceId> = services.collect();
     let mut fleet = board.fleet.borrow_mut();
     for service in services {
-        fleet.set_learning(service, configuration.learns(service));
+        fleet.set_learning(service, board.settings.learning && configuration.uses(service));
     }
 }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -27,6 +27,8 @@
     pub apply_time: Duration,
     /// Bounds of rollouts, if the deployment has them.
     pub rollout: Option<Bounds>,
+    /// Whether the speed and concurrency of endpoints are learned, see [`sched::capacity`].
+    pub learning: bool,
     /// Processor time, in hundredths of a core.
     pub processor: u32,
     /// Memory limit of the process, in bytes.
--- a/crates/relay/tests/nodes/support.rs
+++ b/crates/relay/tests/nodes/support.rs
@@ -70,6 +70,7 @@
         grace: Duration::from_secs(8),
         apply_time: Duration::from_secs(4),
         rollout: None,
+        learning: false,
         processor,
         memory: 1 << 27,
         descriptors: 1_000,
