--- a/crates/sched/src/rollout/coordinator.rs
+++ b/crates/sched/src/rollout/coordinator.rs
@@ -263,6 +263,11 @@
         if let Some(fault) = judge.doubt() {
             return self.change(Stage::Reverted, Reason::Bad(fault));
         }
+        if lacks_for_end(routes).is_some() {
+            let answers = routes.values().map(|route| route.candidate().answers).sum();
+            let reason = Reason::TooFewAnswers { answers, endpoints: self.candidates };
+            return self.change(Stage::Reverted, reason);
+        }
         let reason = if is_drained { Reason::Drained } else { Reason::Late { running } };
         self.change(Stage::Completed, reason)
     }
--- a/crates/sched/tests/rollout/coordinator.rs
+++ b/crates/sched/tests/rollout/coordinator.rs
@@ -99,6 +99,20 @@
     assert_eq!(step(&mut rollout, 57_100), Some(Stage::Completed));
 }
 
+/// Guards against the completion of a release that has stopped answering: its endpoints crashed.
+#[test]
+fn a_route_without_responses_until_the_limit_ends_in_a_revert() {
+    let mut rollout = rollout(12.0);
+    rollout.set_live(&[node(0)]);
+    let mut report = good(1, Stage::Shift, 0);
+    count(&mut report, 2, 0, Stable, 40, 0);
+    rollout.record(&node(0), 1, report);
+    assert_eq!(step(&mut rollout, 11_600), None);
+    let change = rollout.step(ms(11_700), LISTED).unwrap();
+    let reason = Reason::TooFewAnswers { answers: 60, endpoints: 6 };
+    assert_eq!((change.stage, change.reason), (Stage::Reverted, reason));
+}
+
 /// Guards against orders that are never executed, or that crash a node.
 #[test]
 fn orders_that_cannot_be_executed_are_rejected() {
