--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -31,7 +31,9 @@
 use hyper::body::Incoming;
 use sched::{fleet::Outcome, quota::Quota};
 use slog::info;
-use std::{cell::Cell, convert::Infallible, panic::AssertUnwindSafe, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, io::ErrorKind, panic::AssertUnwindSafe, rc::Rc, time::Duration,
+};
 use tokio::time::Instant;
 use units::{EndpointId, Tokens};
 
@@ -248,10 +250,15 @@
     let connection = match board.pool.acquire(slot.address(), attempt, recent_only, now).await {
         Ok(connection) => connection,
         Err(e) => {
-            slot.release(Outcome::Unreachable);
+            let is_own_limit = e.kind() == ErrorKind::ResourceBusy;
+            slot.release(if is_own_limit { Outcome::Cancelled } else { Outcome::Unreachable });
             return Err(Failure::Unsent(e.to_string().into()));
         }
     };
+    if slot.is_void() {
+        slot.release(Outcome::Cancelled);
+        return Err(Failure::Unsent("its release is not in use any more".into()));
+    }
     exchange_head(board, accepted, slot, connection, resume_after).await
 }
 
--- a/crates/relay/src/holder.rs
+++ b/crates/relay/src/holder.rs
@@ -254,7 +254,10 @@
         board.metrics.count("permit", "returned");
         info!(board.log, "permit returned"; Event::PermitReturned, "endpoint" => %endpoint,
             "owner" => %owner, "reason" => "the endpoint leaves or refuses requests");
-        end(board, owner, request, Outcome::WrongEndpoint);
+        // An owner that does not know a stage yet must not leave the endpoint alone.
+        let is_held_back = board.fleet.borrow().is_held_back(&endpoint, board.now());
+        let outcome = if is_held_back { Outcome::Cancelled } else { Outcome::WrongEndpoint };
+        end(board, owner, request, outcome);
         return Answer::Returned;
     }
     let held = Held { endpoint: endpoint.clone(), size: submission.size, owner };
--- a/crates/relay/src/rollout.rs
+++ b/crates/relay/src/rollout.rs
@@ -155,8 +155,10 @@
     let Some(bounds) = board.settings.rollout else { return };
     let rollouts = board.rollouts.borrow();
     let Some(entry) = rollouts.get(service) else { return };
+    let candidate =
+        if entry.is_executable() { entry.order.to.clone() } else { orders::unknown_release() };
     let policy = Policy {
-        candidate: entry.order.to.clone(),
+        candidate,
         stage: entry.effective_stage(),
         share: bounds.share,
         excluded: entry.excluded.clone(),
--- a/crates/relay/src/rollout/coordinator.rs
+++ b/crates/relay/src/rollout/coordinator.rs
@@ -120,12 +120,20 @@
     board.coordinating.borrow_mut().retain(|service, _| services.contains(service));
     for service in services {
         if !is_coordinator(board, &service) || !board.endpoints_read.get() {
+            withdraw_proposal(board, &service);
             continue;
         }
         if let Some(cause) = unknown_service(board, &service) {
             set_stage(board, &service, Stage::Reverted, &cause);
-        } else if let Some((change, counts)) = step(board, &service) {
-            apply(board, &service, &change, &counts);
+        } else {
+            let change = step(board, &service);
+            let is_complete = change.as_ref().is_some_and(|(c, _)| c.stage == Stage::Completed);
+            if !is_complete {
+                withdraw_proposal(board, &service);
+            }
+            if let Some((change, counts)) = change {
+                apply(board, &service, &change, &counts);
+            }
         }
     }
 }
@@ -184,6 +192,14 @@
     )
 }
 
+/// Withdraws the proposal of an end that is not in the store yet: requests may be in flight at the
+/// old release again, or the new one has come under suspicion.
+fn withdraw_proposal(board: &Blackboard, service: &ServiceId) {
+    if let Some(entry) = board.rollouts.borrow_mut().get_mut(service) {
+        entry.proposed = false;
+    }
+}
+
 /// Puts a stage in force; the end of a good rollout only once the store holds it.
 fn apply(board: &Blackboard, service: &ServiceId, change: &Change, counts: &str) {
     if change.stage != Stage::Completed {
--- a/crates/relay/src/rollout/orders.rs
+++ b/crates/relay/src/rollout/orders.rs
@@ -26,6 +26,12 @@
 /// Release of an order that names none.
 const UNKNOWN_RELEASE: &str = "unknown";
 
+/// Release that stands for none.
+#[must_use]
+pub(super) fn unknown_release() -> Release {
+    Release::new(UNKNOWN_RELEASE).expect("the text is valid")
+}
+
 /// Order as the operator wrote it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Directive {
@@ -47,7 +53,7 @@
         let order = Order {
             id: OrderId(version.get()),
             service: service.clone(),
-            to: to.unwrap_or_else(|| Release::new(UNKNOWN_RELEASE).expect("the text is valid")),
+            to: to.unwrap_or_else(unknown_release),
             limit: Duration::ZERO,
         };
         Self { order, invalid: Some(cause) }
@@ -111,6 +117,13 @@
         }
     }
 
+    /// Whether the order can be executed. One that cannot has no time limit, and its release says
+    /// nothing of those in use.
+    #[must_use]
+    pub const fn is_executable(&self) -> bool {
+        !self.order.limit.is_zero()
+    }
+
     /// Time since the store held the order.
     #[must_use]
     pub fn age(&self, now: Time) -> Duration {
@@ -275,7 +288,7 @@
     fn replace(&mut self, mut entry: Entry) {
         if let Some(old) = self.entries.get(&entry.order.service) {
             entry.excluded.extend(old.excluded.iter().cloned());
-            if old.stage != Stage::Completed {
+            if old.stage != Stage::Completed && old.is_executable() {
                 entry.excluded.insert(old.order.to.clone());
             }
         }
--- a/crates/sched/src/fleet/cohort.rs
+++ b/crates/sched/src/fleet/cohort.rs
@@ -19,6 +19,9 @@
 /// Time after the end of a rollout within which a release that is listed first counts as an old
 /// one: a node that starts reads old entries late.
 const OLD_ENTRIES_GRACE: Duration = Duration::from_secs(5);
+/// Time after the end of a rollout for which old releases get nothing. Their endpoints are stopped at
+/// once; one that is still listed later has been started for another reason.
+const OLD_ENTRIES_TIME: Duration = Duration::from_secs(300);
 /// Failure rate at this node above which a candidate endpoint ranks behind the others: two failures
 /// in quick succession. Otherwise the fault of one endpoint would take all canary requests of a
 /// zone.
@@ -86,15 +89,28 @@
         }
     }
 
+    /// Whether an endpoint gets no requests because of its release only.
+    #[must_use]
+    pub fn is_held_back(&self, id: &EndpointId, now: Time) -> bool {
+        self.endpoints.get(id).is_some_and(|e| {
+            !e.is_leaving()
+                && !e.is_refusing(now)
+                && self.rollouts.role(&e.listing, now) == Role::Closed
+        })
+    }
+
     /// Endpoints of a service that are not leaving, by whether they have `candidate`.
     #[must_use]
     pub fn listed(&self, service: &ServiceId, candidate: &Release) -> Listed {
         let mut listed = Listed::default();
         let endpoints = self.endpoints.values().filter(|e| e.listing.service == *service);
         for endpoint in endpoints.filter(|endpoint| !endpoint.is_leaving()) {
-            if endpoint.listing.release.as_ref() == Some(candidate) {
+            let release = endpoint.listing.release.as_ref();
+            let is_excluded =
+                |policy: &Policy| release.is_some_and(|r| policy.excluded.contains(r));
+            if release == Some(candidate) {
                 listed.candidate += 1;
-            } else {
+            } else if !self.rollout(service).is_some_and(is_excluded) {
                 listed.stable += 1;
             }
         }
@@ -290,19 +306,43 @@
         let is_candidate = listing.release.as_ref() == Some(&policy.candidate);
         let is_excluded = listing.release.as_ref().is_some_and(|r| policy.excluded.contains(r));
         match (policy.stage, is_candidate) {
+            // An order may name the release in use. Without another one, the service would have no
+            // endpoints.
+            (Stage::Canary | Stage::Reverted, true) if !self.has_other(policy) => Role::Ordinary,
             (Stage::Canary, true) => Role::Canary,
             (Stage::Shift | Stage::Completed, true) => Role::Ordinary,
             (Stage::Shift, false) | (Stage::Reverted, true) => Role::Closed,
             (_, false) if is_excluded => Role::Closed,
             (Stage::Canary | Stage::Reverted, false) => self.unordered(listing, now),
             (Stage::Completed, false) => {
-                let end = completed_at.unwrap_or(now) + OLD_ENTRIES_GRACE;
-                let is_old = self.known(listing).is_none_or(|known| known.since <= end);
-                if is_old { Role::Closed } else { self.unordered(listing, now) }
+                let completed_at = completed_at.unwrap_or(now);
+                let is_old =
+                    self.known(listing).is_none_or(|k| k.since <= completed_at + OLD_ENTRIES_GRACE);
+                let is_recent = now < completed_at + OLD_ENTRIES_TIME;
+                if is_old && is_recent && self.has_candidate(policy) {
+                    Role::Closed
+                } else {
+                    self.unordered(listing, now)
+                }
             }
         }
     }
 
+    /// Whether the candidate is listed.
+    fn has_candidate(&self, policy: &Policy) -> bool {
+        let is_candidate = |release: &Option<Release>| release.as_ref() == Some(&policy.candidate);
+        self.releases.is_some_and(|releases| releases.listed.keys().any(is_candidate))
+    }
+
+    /// Whether a release is listed that is neither the candidate nor excluded.
+    fn has_other(&self, policy: &Policy) -> bool {
+        let is_other = |release: &Option<Release>| {
+            let Some(release) = release else { return true };
+            *release != policy.candidate && !policy.excluded.contains(release)
+        };
+        self.releases.is_some_and(|releases| releases.listed.keys().any(is_other))
+    }
+
     fn known(&self, listing: &Listing) -> Option<&Known> {
         self.releases?.listed.get(&listing.release)
     }
--- a/crates/sched/src/rollout/coordinator.rs
+++ b/crates/sched/src/rollout/coordinator.rs
@@ -366,8 +366,9 @@
     }
 }
 
+/// Whether the stable release has answered anything.
 fn has_answers(routes: &BTreeMap<u32, Route>) -> bool {
-    routes.values().any(|route| route.stable.answers > 0 || !route.candidate.is_empty())
+    routes.values().any(|route| route.stable.answers > 0)
 }
 
 fn lacks_for_end(routes: &BTreeMap<u32, Route>) -> Option<Waiting> {
--- a/crates/sched/tests/rollout/fleet.rs
+++ b/crates/sched/tests/rollout/fleet.rs
@@ -263,3 +263,34 @@
         }
     }
 }
+
+/// Guards against a service without endpoints: an order may name the release in use, also after one
+/// to another release that was reverted.
+#[test]
+fn an_order_to_the_release_in_use_leaves_it_in_use() {
+    for stage in [Stage::Canary, Stage::Reverted] {
+        let mut fleet = fleet(2, 0, None);
+        let in_use = Policy { candidate: release("v1"), ..policy(stage) };
+        fleet.set_rollout(&service(), Some(in_use.clone()), at(20_000));
+        assert!(select(&fleet, Cohort::Stable, at(20_000)).is_some(), "{stage:?}, only release");
+        upsert(&mut fleet, listing(1_000, "v2", "a"), at(20_000));
+        let excluded = BTreeSet::from([release("v2")]);
+        fleet.set_rollout(&service(), Some(Policy { excluded, ..in_use }), at(20_000));
+        let selected = select(&fleet, Cohort::Stable, at(30_000)).map(|id| id.to_string());
+        assert!(selected.is_some_and(|id| id.len() < "e-1000".len()), "{stage:?}, v2 is excluded");
+        assert_eq!(fleet.listed(&service(), &release("v1")).stable, 0);
+    }
+}
+
+/// Guards against a release that nodes which restart after a rollout never use: to them it was listed
+/// at the end of the rollout.
+#[test]
+fn a_later_release_is_used_some_time_after_a_restart() {
+    let mut without = fleet(0, 0, Some(Stage::Completed));
+    upsert(&mut without, listing(0, "v3", "a"), at(11_000));
+    assert!(without.accepts(&id(0), at(12_000)), "there is no other");
+    let mut beside = fleet(0, 1, Some(Stage::Completed));
+    upsert(&mut beside, listing(0, "v3", "a"), at(11_000));
+    assert!(!beside.accepts(&id(0), at(12_000)), "it may be an old one");
+    assert!(beside.accepts(&id(0), at(311_000)));
+}
