--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -269,8 +269,15 @@
 
 /// Closes connections without progress until the process exits.
 pub async fn watch(board: Rc<Blackboard>) {
+    let mut checked = board.now();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
+        let pause = board.now().since(checked);
+        checked = board.now();
+        if pause > 2 * CHECK_INTERVAL {
+            // The process was frozen or starved: bytes that came meanwhile are read first.
+            continue;
+        }
         let limits = board.configuration.borrow().as_ref().map(|c| c.limits).unwrap_or_default();
         let now = board.now();
         for entry in board.connections.open.borrow().values() {
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -96,10 +96,7 @@
 
     fn allows(&self, account: Option<&AtomicU64>, more: u64, is_small: bool) -> bool {
         let free = self.free();
-        if is_small {
-            return more <= free;
-        }
-        let kept = self.0.total / SMALL_SHARE_DIVISOR;
+        let kept = if is_small { 0 } else { self.0.total / SMALL_SHARE_DIVISOR };
         let limit = (self.0.total / ORGANISATION_DIVISOR).max(SINGLE_REQUEST_BYTES);
         let held = account.map_or(0, |account| account.load(Ordering::Relaxed));
         more.saturating_add(kept) <= free && held.saturating_add(more) <= limit
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -128,17 +128,30 @@
             return Ok(Connection { sender, reused: true, address, unfinished });
         }
         if self.open.get() >= self.max_open {
-            // Idle connections give way; their tasks end when this one yields.
-            self.idle.borrow_mut().clear();
+            // An idle connection gives way; its task ends when this one yields.
+            self.close_one();
             tokio::task::yield_now().await;
             if self.open.get() >= self.max_open {
-                return Err(io::Error::other("all connections to endpoints are in use"));
+                let cause = "all connections to endpoints are in use";
+                return Err(io::Error::new(io::ErrorKind::ResourceBusy, cause));
             }
         }
         let sender = open(address, Some(Guard::new(&self.open))).await?;
         Ok(Connection { sender, reused: false, address, unfinished: Vec::new() })
     }
 
+    /// Closes an idle connection.
+    fn close_one(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let Some(address) = idle.keys().next().copied() else { return };
+        if let Some(connections) = idle.get_mut(&address) {
+            connections.pop();
+            if connections.is_empty() {
+                idle.remove(&address);
+            }
+        }
+    }
+
     fn take_idle(
         &self,
         address: SocketAddr,
