--- a/src/main.rs
+++ b/src/main.rs
@@ -2,8 +2,8 @@
 //!
 //! Exit codes: 0 on success; 1 on a refusal, whose result code is printed, and
 //! on a wrong command line; 2 on invalid service files, which include those in
-//! which `check` finds errors, and on unreadable or unwritable files; 3 if the outcome is unknown: `log` shows whether the
-//! publication was recorded.
+//! which `check` finds errors, and on unreadable or unwritable files; 3 if the
+//! outcome is unknown: `log` shows whether the publication was recorded.
 
 mod check;
 mod explain;
