--- a/review/standins-2/src/bin/tenant_name.rs
+++ b/review/standins-2/src/bin/tenant_name.rs
@@ -1,7 +1,8 @@
 //! A new version of the configuration adds a tenant whose name has a space, and takes a key away.
 //!
 //! Later than `config_apply_ms` after the store has the version, the nodes must refuse the key that
-//! was taken away and serve the new ones.
+//! was taken away and serve the new ones. In the end all processes are killed and start again, and
+//! requests that every version allows must be served once `recover_s` has passed.
 
 use anyhow::Result;
 use fake_host::{Node, Request, Testbed, testbed};
@@ -15,7 +16,11 @@
 const APPLY_TIME: Duration = Duration::from_millis(5_000);
 /// Number of times that the requests are sent after that, a second apart.
 const ROUNDS: usize = 5;
-/// Bodies and statuses that show which version is in force.
+/// Largest `recover_s` of the deployments.
+const RECOVER_TIME: Duration = Duration::from_secs(15);
+/// Requests to each node after that.
+const RECOVERED: usize = 10;
+/// Keys and statuses that show which version is in force.
 const EXPECTED: [(&str, StatusCode); 4] = [
     ("key-1", StatusCode::OK),
     ("key-2", StatusCode::UNAUTHORIZED),
@@ -85,5 +90,27 @@
             record.add(format!("log: {line}"));
         }
     }
-    Ok(broken)
+    record.add(format!("{broken} requests handled as only the older version allows"));
+    for node in &mut nodes {
+        node.signal("KILL")?;
+        node.wait()?;
+        node.restart()?;
+    }
+    record.add("all processes were killed and started again");
+    tokio::time::sleep(RECOVER_TIME).await;
+    let mut served = 0;
+    for round in 0..RECOVERED {
+        for (number, node) in nodes.iter().enumerate() {
+            let status = send(node, "key-1", &format!("back-{round}-{number}")).await?;
+            record.add(format!(
+                "edge-{}: key-1, which every version has: status {status}",
+                number + 1
+            ));
+            served += usize::from(status == StatusCode::OK);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let sent = RECOVERED * nodes.len();
+    record.add(format!("{served} of {sent} requests served after the restart"));
+    Ok(broken + usize::from(4 * served < sent))
 }
