--- a/review/standins-2/src/bin/fraction.rs
+++ b/review/standins-2/src/bin/fraction.rs
@@ -41,7 +41,7 @@
             *port = listener.local_addr()?.port();
         }
         UdpSocket::bind((ip, ports[3]))?;
-        let folder = std::env::temp_dir().join(format!("review-8-{}-{number}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("review-9-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let (name, program) = (format!("edge-{number}"), program.to_owned());
         Ok(Self { name, program, folder, ip, ports, store: store.address, child: None })
