--- a/review/standins-2/src/bin/slow_reader.rs
+++ b/review/standins-2/src/bin/slow_reader.rs
@@ -13,7 +13,7 @@
 };
 
 /// Time for which a caller reads nothing.
-const PAUSE: Duration = Duration::from_millis(3_500);
+const PAUSE: Duration = Duration::from_millis(5_000);
 /// Time limit of a request, and of its route.
 const LIMIT_MS: u64 = 12_000;
 /// Receive buffer of a caller.
