--- a/review/standins-2/std/kit.rs
+++ b/review/standins-2/std/kit.rs
@@ -1,6 +1,5 @@
 //! Stand-ins of the platform's store, of servers and of clients, and the processes of the project.
 //! Standard library only. All addresses are loopback addresses.
-#![allow(dead_code)]
 
 use std::{
     collections::BTreeMap,
