--- a/crates/fake-host/src/node.rs
+++ b/crates/fake-host/src/node.rs
@@ -6,7 +6,7 @@
 use std::{
     io::{BufRead, BufReader, Read},
     net::{IpAddr, SocketAddr, TcpListener, UdpSocket},
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Arc,
     thread::JoinHandle,
@@ -149,6 +149,10 @@
 memory_mb = {memory_mb}
 max_fds = {max_fds}
 [bounds]
+stable_ms = 4000
+drain_ms = 2500
+config_apply_ms = 2500
+revoke_everywhere = false
 retry_ratio = 0.2
 retry_window_s = 10
 retry_burst = 50
@@ -173,6 +177,25 @@
         })
     }
 
+    /// Replaces the value of a key in the settings file.
+    ///
+    /// # Errors
+    /// The file has no such key, or cannot be written.
+    pub fn set(&self, key: &str, value: &str) -> Result<()> {
+        let path = self.settings();
+        let text = std::fs::read_to_string(&path)?;
+        let start = format!("{key} = ");
+        let line = text.lines().find(|line| line.starts_with(&start));
+        let line = line.with_context(|| format!("the settings have no {key}"))?;
+        Ok(std::fs::write(path, text.replacen(line, &format!("{start}{value}"), 1))?)
+    }
+
+    /// Path of the settings file.
+    #[must_use]
+    pub fn settings(&self) -> PathBuf {
+        self.directory.path().join("settings.toml")
+    }
+
     /// Starts the process again after it has ended.
     ///
     /// # Errors
