Relay: a peer whose window is closed is not taken for one that is gone

An endpoint that paused in reading a 4 MB body lost the request (502 after 2.8 s).

Cause: TCP_USER_TIMEOUT of 2.5 s on callers' and endpoints' connections. Linux applies it to a peer that acknowledges all probes of its closed window, too. Ruled out: idle_timeout_ms, the deadline, the stop.

Change: `relay::transport` reads TCP_INFO of connections with unconfirmed data each 250 ms (libc; nix and rustix have no TCP_INFO) and fails one whose peer acknowledges nothing for 2.5 s or leaves three probes unanswered. TCP_USER_TIMEOUT stays where the kernel gives no such state, and for the store and documents of nodes, whose exchanges have shorter limits. Failed attempts name the socket's error.

--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -28,6 +28,9 @@
 /// Pause between these pieces.
 const FILLER_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Time in which a response is acknowledged before its connection becomes silent.
+const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(10);
+
 /// Interval at which a crash checks whether connections are refused.
 const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -57,6 +60,8 @@
     TruncateAfter(u64),
     /// Streams send nothing more after this number of events, and stay open.
     SilentAfter(u64),
+    /// A connection becomes silent for good once it has carried a plain response.
+    SilentConnections,
     /// Each plain response is sent twice.
     ExtraResponse,
     /// Responses carry no receipt.
@@ -181,6 +186,8 @@
     pause: Duration,
     /// Bytes that are appended to the data of each event.
     event_padding: usize,
+    /// Time for which nothing of a request's body is read.
+    read_pause: Duration,
     /// Time that a plain request takes.
     work: Duration,
     /// Bytes that are appended to plain responses.
@@ -244,6 +251,7 @@
             events: 5,
             pause: Duration::from_millis(5),
             event_padding: 0,
+            read_pause: Duration::ZERO,
             work: Duration::ZERO,
             padding: 0,
             deadly_part: None,
@@ -307,6 +315,11 @@
         self.state.lock().event_padding = padding;
     }
 
+    /// Sets the time for which nothing of a request's body is read.
+    pub fn set_read_pause(&self, pause: Duration) {
+        self.state.lock().read_pause = pause;
+    }
+
     /// Sets the time that a plain request takes.
     pub fn set_work(&self, work: Duration) {
         self.state.lock().work = work;
@@ -408,6 +421,10 @@
             let response = state.lock().reject(&run.attempt);
             stream.write_all(response.as_bytes()).await?;
         }
+        if buffer.len() < length {
+            let pause = state.lock().read_pause;
+            tokio::time::sleep(pause).await;
+        }
         while buffer.len() < length {
             anyhow::ensure!(
                 stream.read_buf(&mut buffer).await? > 0,
@@ -594,6 +611,10 @@
     if fault == Fault::ExtraResponse {
         stream.write_all(response.as_bytes()).await?;
     }
+    if fault == Fault::SilentConnections {
+        tokio::time::sleep(ACKNOWLEDGEMENT_TIME).await;
+        crate::silence(stream)?;
+    }
     *late = is_copied.then_some(response);
     Ok(true)
 }
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -22,6 +22,7 @@
     settings::Settings,
     shares::Shares,
     transfer::Library,
+    transport::Monitor,
 };
 use codes::Event;
 use sched::{budget::Budget, fleet::Fleet, quarantine::Tracker, quota::Limiter};
@@ -150,6 +151,8 @@
     pub connections: Connections,
     /// Connections to endpoints.
     pub pool: Pool,
+    /// Checks that the peers of connections are not gone.
+    pub monitor: Rc<Monitor>,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
     /// Memory for bodies of callers and endpoints.
@@ -166,10 +169,12 @@
     #[must_use]
     pub fn new(settings: Settings, log: Logger, headers: Box<dyn Codec>) -> Self {
         let shares = Shares::new(settings.memory, settings.descriptors);
+        let clock = Clock::new();
+        let monitor = Rc::new(Monitor::default());
         Self {
             dispatcher: RefCell::new(Dispatcher::new(settings.instance.clone())),
             log,
-            clock: Clock::new(),
+            clock,
             headers,
             metrics: Metrics::new(),
             configuration: RefCell::default(),
@@ -206,7 +211,8 @@
             demand: Cell::new(0),
             body_memory: memory::Pool::new(shares.bodies),
             connections: Connections::default(),
-            pool: Pool::new(shares.endpoints),
+            pool: Pool::new(shares.endpoints, Rc::clone(&monitor), clock),
+            monitor,
             shares,
             settings,
             in_progress: Cell::new(0),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,7 +12,7 @@
     connections::{self, Entry},
     dispatcher::{self, Slot},
     headers::Outbound,
-    history::{Failure, History},
+    history::{self, Failure, History},
     limits,
     memory::Buffer,
     pool::Connection,
@@ -276,7 +276,7 @@
         Ok(Ok(response)) => response,
         Ok(Err(mut e)) => {
             let unsent = e.take_message().is_some();
-            let cause: Box<str> = e.error().to_string().into();
+            let cause = history::describe(e.error());
             return Err(record_broken_connection(
                 board,
                 accepted,
@@ -357,7 +357,9 @@
     }
     reserve(board, accepted, || whole.reserve(stated)).await?;
     while let Some(frame) = body.frame().await {
-        let Ok(chunk) = frame.map_err(|e| lost(e.to_string()))?.into_data() else { continue };
+        let Ok(chunk) = frame.map_err(|e| Failure::Lost(history::describe(&e)))?.into_data() else {
+            continue;
+        };
         if whole.len() + chunk.len() > MAX_RESPONSE_BYTES {
             return Err(lost(format!("response of more than {} bytes", whole.len())));
         }
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -13,6 +13,7 @@
 use codes::{Code, Event};
 use http::StatusCode;
 use slog::info;
+use std::error::Error;
 use units::{EndpointId, Time};
 
 /// Longest retry delay stated to a caller, as a divisor of its remaining time; callers wait for at
@@ -36,6 +37,15 @@
     TimedOut,
 }
 
+/// Cause of a connection's failure, with that of the socket below it.
+#[must_use]
+pub fn describe(error: &hyper::Error) -> Box<str> {
+    match error.source() {
+        Some(source) => format!("{error}: {source}").into(),
+        None => error.to_string().into(),
+    }
+}
+
 /// Endpoints that a request was sent to, and the outcomes.
 #[derive(Debug, Default)]
 pub struct History {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 //!   them; [`permit`] has their messages.
 //! * [`pool`] keeps connections to endpoints; [`stream`] forwards events and
 //!   resumes a broken stream at another endpoint where that is allowed.
+//!   [`transport`] notices that a peer is gone.
 //! * [`discovery`] finds the other nodes, which are tracked in the [`roster`];
 //!   [`peers`] exchanges [`digest`]s of in-flight requests with them.
 //! * [`transfer`] passes whole documents on, so that few nodes read them from
@@ -72,6 +73,7 @@
 pub mod shares;
 pub mod stream;
 pub mod transfer;
+pub mod transport;
 pub mod watch;
 
 pub use self::{
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -86,6 +86,9 @@
     let socket = Rc::clone(&sockets.peers);
     supervise(&board, &sockets.callers, "callers", serve::callers);
     supervise(&board, &Rc::new(()), "connections", |board, _| connections::watch(board));
+    supervise(&board, &Rc::clone(&board.monitor), "monitor", |_, monitor| async move {
+        monitor.run().await;
+    });
     supervise(&board, &sockets.readiness, "readiness", serve::readiness);
     supervise(&board, &sockets.metrics, "metrics", serve::metrics);
     supervise(&board, &sockets.transfers, "transfers", transfer::serve);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,11 +8,11 @@
 //! expected. Its attempt identifies it, unless the same attempt is sent again on
 //! that connection. A connection is therefore never used twice for an attempt.
 
+use crate::transport::{self, Monitor, Stream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -21,20 +21,15 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::net::TcpStream;
-use units::Time;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+};
+use units::{Time, time::Clock};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Connect timeout: twice the round trip to the farthest region plus one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Idle time before the first TCP keepalive probe.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-/// Interval between keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Number of unanswered probes after which a connection is closed.
-const KEEPALIVE_RETRIES: u32 = 2;
-/// Longest time for which sent data may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time after a response before a connection is reused, in which stray bytes are detected.
 const SETTLE_TIME: Duration = Duration::from_millis(8);
 /// Idle timeout of a connection whose endpoint states none.
@@ -85,6 +80,8 @@
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     max_open: u32,
     open: Rc<Cell<u32>>,
+    monitor: Rc<Monitor>,
+    clock: Clock,
 }
 
 /// Counts an open connection until it is dropped.
@@ -106,8 +103,8 @@
 impl Pool {
     /// Empty pool of at most `max_open` connections, idle or in use.
     #[must_use]
-    pub fn new(max_open: u32) -> Self {
-        Self { idle: RefCell::default(), max_open, open: Rc::default() }
+    pub fn new(max_open: u32, monitor: Rc<Monitor>, clock: Clock) -> Self {
+        Self { idle: RefCell::default(), max_open, open: Rc::default(), monitor, clock }
     }
 
     /// Takes an idle connection that has not carried `attempt`, or opens a new one. With
@@ -136,7 +133,9 @@
                 return Err(io::Error::new(io::ErrorKind::ResourceBusy, cause));
             }
         }
-        let sender = open(address, Some(Guard::new(&self.open))).await?;
+        let guard = Guard::new(&self.open);
+        let stream = Stream::new(open(address).await?, &self.monitor, self.clock)?;
+        let sender = handshake(stream, Some(guard)).await?;
         Ok(Connection { sender, reused: false, address, unfinished: Vec::new() })
     }
 
@@ -211,35 +210,30 @@
     }
 }
 
-/// Configures TCP timeouts that detect an unresponsive peer.
-///
-/// # Errors
-/// A socket option cannot be set.
-pub fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
-}
-
-/// Opens a connection.
+/// Opens a connection for short exchanges with limits of their own, which the kernel closes if its
+/// peer acknowledges or reads nothing.
 ///
 /// # Errors
 /// The connection is refused, or times out.
 pub async fn connect(address: SocketAddr) -> io::Result<SendRequest<Body>> {
-    open(address, None).await
+    let stream = open(address).await?;
+    transport::enable_timeouts(&stream)?;
+    handshake(stream, None).await
 }
 
-async fn open(address: SocketAddr, guard: Option<Guard>) -> io::Result<SendRequest<Body>> {
+async fn open(address: SocketAddr) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
         .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time"))??;
     stream.set_nodelay(true)?;
-    enable_keepalive(&stream)?;
+    Ok(stream)
+}
+
+async fn handshake(
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    guard: Option<Guard>,
+) -> io::Result<SendRequest<Body>> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 * 1024)
         .handshake(TokioIo::new(stream))
--- a/crates/relay/src/progress.rs
+++ b/crates/relay/src/progress.rs
@@ -8,8 +8,8 @@
     blackboard::Blackboard,
     connections::{Entry, Reason},
     memory::Reservation,
+    transport::Stream,
 };
-use socket2::SockRef;
 use std::{
     cell::RefCell,
     io::{ErrorKind, IoSlice, Result},
@@ -17,10 +17,7 @@
     rc::Rc,
     task::{Context, Poll, ready},
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Request that counts as in progress until it is dropped.
 #[derive(Debug)]
@@ -75,7 +72,7 @@
 /// written.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
+    stream: Stream,
     unwritten: Unwritten,
     board: Rc<Blackboard>,
     entry: Rc<Entry>,
@@ -88,7 +85,7 @@
     /// Connection over a stream.
     #[must_use]
     pub fn new(
-        stream: TcpStream,
+        stream: Stream,
         unwritten: Unwritten,
         board: &Rc<Blackboard>,
         entry: &Rc<Entry>,
@@ -120,18 +117,19 @@
 
     /// Records the result of a write of `bytes`.
     fn record_write(
-        &self,
+        &mut self,
         context: &Context<'_>,
         polled: Poll<Result<usize>>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
         let polled = match polled {
-            Poll::Pending if self.entry.take_retry() => {
-                match SockRef::from(&self.stream).send(bytes) {
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => Poll::Pending,
-                    sent => Poll::Ready(sent),
+            Poll::Pending if self.entry.take_retry() => match self.stream.socket().send(bytes) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => Poll::Pending,
+                sent => {
+                    self.stream.record_sent();
+                    Poll::Ready(sent)
                 }
-            }
+            },
             polled => polled,
         };
         match &polled {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,6 +5,7 @@
     connections::{self, Entry, Recent, Registration},
     exchange,
     progress::{self, Unwritten},
+    transport::Stream,
 };
 use anyhow::{Context, Result};
 use bytes::Bytes;
@@ -119,11 +120,12 @@
 async fn exchange_requests(board: &Rc<Blackboard>, stream: TcpStream, entry: &Rc<Entry>) {
     let configured = stream.set_nodelay(true).and_then(|()| {
         SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
-        crate::pool::enable_keepalive(&stream)
+        Stream::new(stream, &board.monitor, board.clock)
     });
-    if let Err(e) = configured {
-        info!(board.log, "setting socket options failed"; "error" => %e);
-    }
+    let stream = match configured {
+        Ok(stream) => stream,
+        Err(e) => return info!(board.log, "setting socket options failed"; "error" => %e),
+    };
     let unwritten = Unwritten::default();
     let stream = progress::Connection::new(stream, unwritten.clone(), board, entry);
     let handler = {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,7 +17,7 @@
     dispatcher::{self, Slot, Submission},
     events::Decoder,
     exchange,
-    history::{Failure, History},
+    history::{self, Failure, History},
     pool::Connection,
     quarantine::{self, SURVIVAL_TIME, Site},
     reply::millis,
@@ -306,7 +306,7 @@
                     }
                 }
                 Poll::Ready(Some(Err(e))) => {
-                    return Poll::Ready(Err(End::Broken(e.to_string().into())));
+                    return Poll::Ready(Err(End::Broken(history::describe(&e))));
                 }
                 Poll::Ready(None) if segment.ended_empty() => {
                     return Poll::Ready(Err(End::Broken("closed before an event".into())));
