Stand-ins: silent connections without another dependency of fake-host

The filter is in the soak's proxy now, and a worker hands the connections that it has answered to a hook.

--- a/crates/fake-host/src/lib.rs
+++ b/crates/fake-host/src/lib.rs
@@ -26,25 +26,10 @@
     worker::{Defect, Fault, Worker},
 };
 
-use socket2::{SockFilter, SockRef};
 use std::{
-    io,
     net::{IpAddr, Ipv4Addr},
     sync::atomic::{AtomicU32, Ordering},
 };
-use tokio::net::TcpStream;
-
-/// Classic BPF instruction that drops a segment: `BPF_RET | BPF_K`, with length zero.
-const DROP: SockFilter = SockFilter::new(0x06, 0, 0, 0);
-
-/// Makes one side of a connection silent for good: its kernel takes in nothing more, acknowledges
-/// nothing and reports no error to the other side.
-///
-/// # Errors
-/// The filter cannot be set.
-pub fn silence(stream: &TcpStream) -> io::Result<()> {
-    SockRef::from(stream).attach_filter(&[DROP])
-}
 
 /// Number of addresses handed out by this process.
 static ADDRESS_COUNT: AtomicU32 = AtomicU32::new(0);
--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -28,7 +28,7 @@
 /// Pause between these pieces.
 const FILLER_INTERVAL: Duration = Duration::from_millis(1);
 
-/// Time in which a response is acknowledged before its connection becomes silent.
+/// Time in which a response is acknowledged before a [`Hook`] gets its connection.
 const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(10);
 
 /// Interval at which a crash checks whether connections are refused.
@@ -60,8 +60,6 @@
     TruncateAfter(u64),
     /// Streams send nothing more after this number of events, and stay open.
     SilentAfter(u64),
-    /// A connection becomes silent for good once it has carried a plain response.
-    SilentConnections,
     /// Each plain response is sent twice.
     ExtraResponse,
     /// Responses carry no receipt.
@@ -78,6 +76,9 @@
     BodyWithoutEnd,
 }
 
+/// What is done to a connection that has carried a plain response.
+pub type Hook = fn(&TcpStream) -> std::io::Result<()>;
+
 /// Defect of a version: some of its responses are bad. All conditions must hold.
 #[derive(Debug, Clone, Default)]
 pub struct Defect {
@@ -186,6 +187,7 @@
     pause: Duration,
     /// Bytes that are appended to the data of each event.
     event_padding: usize,
+    answered_hook: Option<Hook>,
     /// Time for which nothing of a request's body is read.
     read_pause: Duration,
     /// Time that a plain request takes.
@@ -251,6 +253,7 @@
             events: 5,
             pause: Duration::from_millis(5),
             event_padding: 0,
+            answered_hook: None,
             read_pause: Duration::ZERO,
             work: Duration::ZERO,
             padding: 0,
@@ -315,6 +318,11 @@
         self.state.lock().event_padding = padding;
     }
 
+    /// Sets what is done to a connection that has carried a plain response.
+    pub fn set_answered_hook(&self, hook: Hook) {
+        self.state.lock().answered_hook = Some(hook);
+    }
+
     /// Sets the time for which nothing of a request's body is read.
     pub fn set_read_pause(&self, pause: Duration) {
         self.state.lock().read_pause = pause;
@@ -611,9 +619,10 @@
     if fault == Fault::ExtraResponse {
         stream.write_all(response.as_bytes()).await?;
     }
-    if fault == Fault::SilentConnections {
+    let hook = state.lock().answered_hook;
+    if let Some(hook) = hook {
         tokio::time::sleep(ACKNOWLEDGEMENT_TIME).await;
-        crate::silence(stream)?;
+        hook(stream)?;
     }
     *late = is_copied.then_some(response);
     Ok(true)
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Result, ensure};
 use parking_lot::Mutex;
-use socket2::SockRef;
+use socket2::{SockFilter, SockRef};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
@@ -103,6 +103,18 @@
     }
 }
 
+/// Classic BPF instruction that drops a segment: `BPF_RET | BPF_K`, with length zero.
+const DROP: SockFilter = SockFilter::new(0x06, 0, 0, 0);
+
+/// Makes one side of a connection silent for good: its kernel takes in nothing more, acknowledges
+/// nothing and reports no error to the other side.
+///
+/// # Errors
+/// The filter cannot be set.
+pub fn silence(stream: &TcpStream) -> std::io::Result<()> {
+    SockRef::from(stream).attach_filter(&[DROP])
+}
+
 /// Makes closing the connection send a reset.
 fn reset_on_close(stream: &TcpStream) {
     // Without the option the connection closes normally, which is an acceptable fault too.
