Relay: the return of one node to the store holds back no removal

Cause: missing entries stay in use for 2.2 s after the store's return, and any node that had reached the store again made all nodes wait. The time began when the missing entry was noticed, up to 0.7 s late, and ended at the answer after it. A call that began before an outage and failed after it counted as a second outage. drain_ms was not read.

Ruled out: lost datagrams; a takeover as a cause of its own.

Change: `relay::outage` judges by this node's own calls, their starts and ends; the time ends at a fixed moment, by a timer of its own. `relay::waits` derives the calls' intervals and limits from drain_ms and config_apply_ms.

Failed try, not kept: most of those that follow the store speak for it.

--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -13,6 +13,7 @@
     journal::Journal,
     memory,
     metrics::Metrics,
+    outage::Outage,
     owner::Cells,
     permit::{Message, Outbox},
     pool::Pool,
@@ -23,6 +24,7 @@
     shares::Shares,
     transfer::Library,
     transport::Monitor,
+    waits::Waits,
 };
 use codes::Event;
 use sched::{budget::Budget, fleet::Fleet, quarantine::Tracker, quota::Limiter};
@@ -46,9 +48,6 @@
 /// Number of connections to an endpoint that every node may open.
 const MIN_CONNECTIONS: u32 = 2;
 
-/// Time after a failed call of the store after which a node may replace a reader again.
-const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(3);
-
 fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
@@ -92,10 +91,10 @@
     pub library: RefCell<Library>,
     /// Configurations that other nodes have and this one does not.
     pub overdue: RefCell<Overdue>,
-    /// Time at which a call of the store last failed, unless one has succeeded since.
-    pub store_failed: Cell<Option<Time>>,
-    /// Time at which the store last became reachable again.
-    pub store_returned: Cell<Option<Time>>,
+    /// Outages of the store.
+    pub outage: RefCell<Outage>,
+    /// Times of what follows the store.
+    pub waits: Waits,
     /// Notified to send a digest at once.
     pub broadcast_now: Notify,
     /// Notified when another node has newer data.
@@ -170,6 +169,7 @@
     pub fn new(settings: Settings, log: Logger, headers: Box<dyn Codec>) -> Self {
         let shares = Shares::new(settings.memory, settings.descriptors);
         let clock = Clock::new();
+        let waits = Waits::new(settings.apply_time, settings.drain_time);
         let monitor = Rc::new(Monitor::default());
         Self {
             dispatcher: RefCell::new(Dispatcher::new(settings.instance.clone())),
@@ -181,9 +181,9 @@
             endpoints_read: Cell::new(false),
             journal: RefCell::default(),
             library: RefCell::default(),
-            overdue: RefCell::new(Overdue::new(settings.apply_time)),
-            store_failed: Cell::new(None),
-            store_returned: Cell::new(None),
+            overdue: RefCell::new(Overdue::new(waits.overdue)),
+            outage: RefCell::default(),
+            waits,
             broadcast_now: Notify::new(),
             outdated: Notify::new(),
             nodes_known: Cell::new(false),
@@ -269,7 +269,7 @@
     /// Whether calls of the store fail now. After some time without a call this is not known.
     #[must_use]
     pub fn is_store_lost(&self) -> bool {
-        self.store_failed.get().is_some_and(|at| self.now().since(at) < STORE_RETRY_INTERVAL)
+        self.outage.borrow().is_lost(self.now())
     }
 
     /// Whether this node reads the store for the others.
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -252,9 +252,6 @@
     }
 }
 
-/// Part of the time for applying a configuration that remains when requests are refused. Other nodes
-/// announce a version some time after the store has confirmed it.
-const OVERDUE_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum number of announced versions that are kept.
 const MAX_ANNOUNCED: usize = 64;
 
@@ -270,10 +267,10 @@
 }
 
 impl Overdue {
-    /// No announced versions; each must be in force within `apply_time`.
+    /// No announced versions; each must be in force `allowed` after its announcement.
     #[must_use]
-    pub fn new(apply_time: Duration) -> Self {
-        Self { allowed: apply_time.saturating_sub(OVERDUE_MARGIN), announced: VecDeque::new() }
+    pub fn new(allowed: Duration) -> Self {
+        Self { allowed, announced: VecDeque::new() }
     }
 
     /// Records that another node announces a version newer than `known`.
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -41,7 +41,8 @@
     pub owned: Box<[u32]>,
     /// Whether its last calls of the store failed.
     pub store_lost: bool,
-    /// Whether it reached the store again so recently that entries may still be missing.
+    /// Whether it reached the store again so recently that entries may still be missing; only older
+    /// builds use it.
     pub store_returned: bool,
     /// Number of requests queued or recently arrived.
     pub demand: u32,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,7 +23,9 @@
 //! * [`rollout`] moves the traffic of a service to another release of its
 //!   endpoints' software.
 //! * [`watch`] follows the store's tables on a few nodes; the others learn of
-//!   changes in the endpoint [`directory`] through its [`journal`].
+//!   changes in the endpoint [`directory`] through its [`journal`]. [`waits`]
+//!   derives its times from the settings, and [`outage`] tells whether the store
+//!   was away.
 //!
 //! The crate knows no header, path or document of any deployment. A
 //! [`headers::Codec`] translates headers and a [`watch::Store`] reads the
@@ -57,6 +59,7 @@
 pub mod limits;
 pub mod memory;
 pub mod metrics;
+pub mod outage;
 pub mod owner;
 pub mod peers;
 pub mod permit;
@@ -74,6 +77,7 @@
 pub mod stream;
 pub mod transfer;
 pub mod transport;
+pub mod waits;
 pub mod watch;
 
 pub use self::{
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -15,7 +15,6 @@
     directory, dispatcher, holder, learning, limits, owner,
     permit::Message,
     quarantine, rollout,
-    watch::REAPPEARANCE_TIME,
 };
 use codes::Event;
 use sched::{
@@ -268,10 +267,7 @@
         owner_weight,
         owned: owned.collect(),
         store_lost: board.is_store_lost(),
-        store_returned: board
-            .store_returned
-            .get()
-            .is_some_and(|at| now.since(at) < REAPPEARANCE_TIME),
+        store_returned: board.outage.borrow().recovery_end(now).is_some(),
         demand: board.demand.get(),
         waiting: board.dispatcher.borrow().waiting_by_service(&fleet),
         loads: loads.collect(),
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -59,7 +59,6 @@
     owned: Box<[u32]>,
     suspected_until: Time,
     store_lost: bool,
-    store_returned: bool,
     incarnation: u64,
     sequence: u64,
     last_digest: Option<Time>,
@@ -88,15 +87,6 @@
     }
 }
 
-/// State reported by the other live nodes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Observed {
-    /// Newest configuration in force at any of them.
-    pub configuration: Version,
-    /// Whether any of them reached the store again so recently that entries may still be missing.
-    pub store_returned: bool,
-}
-
 /// Intervals between a node's digests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Intervals {
@@ -217,7 +207,6 @@
             owned: Box::default(),
             suspected_until: Time::ZERO,
             store_lost: false,
-            store_returned: false,
             incarnation: 0,
             sequence: 0,
             last_digest: None,
@@ -261,7 +250,6 @@
         peer.owner_weight = digest.owner_weight;
         peer.owned.clone_from(&digest.owned);
         peer.store_lost = digest.store_lost;
-        peer.store_returned = digest.store_returned;
         true
     }
 
@@ -291,15 +279,11 @@
         peer.last_digest.is_some_and(|at| now.since(at) < limit)
     }
 
-    /// Newest state reported by the other live nodes.
+    /// Newest configuration in force at any of the other live nodes.
     #[must_use]
-    pub fn observed(&self, now: Time) -> Observed {
-        let mut observed = Observed::default();
-        for (_, peer) in self.live_peers(now) {
-            observed.configuration = observed.configuration.max(peer.configuration);
-            observed.store_returned |= peer.store_returned;
-        }
-        observed
+    pub fn newest_configuration(&self, now: Time) -> Version {
+        let versions = self.live_peers(now).map(|(_, peer)| peer.configuration);
+        versions.max().unwrap_or(Version(0))
     }
 
     /// Whether this node reads the store for the others.
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -25,6 +25,8 @@
     pub grace: Duration,
     /// Time after which a new configuration must be in force at every node.
     pub apply_time: Duration,
+    /// Time after which no node sends requests to an endpoint that is leaving or gone.
+    pub drain_time: Duration,
     /// Bounds of rollouts, if the deployment has them.
     pub rollout: Option<Bounds>,
     /// Whether the speed and concurrency of endpoints are learned, see [`sched::capacity`].
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -14,7 +14,10 @@
 //!
 //! Endpoints' entries may expire while the store is unavailable and are written
 //! again shortly after its return. An entry that disappears around that time
-//! stays in use for another `REAPPEARANCE_TIME`.
+//! stays in use until they must be back, see [`crate::outage`]. A node judges by
+//! its own calls alone: another one may have been cut off by itself. While the
+//! store is away, the nodes take each other's place as readers, so that all that
+//! may read after its return have noticed.
 
 use crate::{
     blackboard::Blackboard,
@@ -39,19 +42,8 @@
 };
 use units::{EndpointId, ServiceId, Time, Version};
 
-/// Long-poll wait for changes of the configuration; a connection that went silent costs at most
-/// this plus the client's timeout.
-const CONFIGURATION_POLL_WAIT: Duration = Duration::from_millis(2_000);
-/// Long-poll wait for changes of endpoints.
-const ENDPOINTS_POLL_WAIT: Duration = Duration::from_millis(1_000);
-/// Minimum interval between a reader's calls for changes of endpoints. Their heartbeats change rows
-/// constantly, and a leaving endpoint must be noticed well within the platform's `drain_ms`.
-const READER_POLL_INTERVAL: Duration = Duration::from_millis(700);
 /// Longest wait for the nodes' rows before the first configuration is read.
 const NODES_READ_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Minimum interval between reads of endpoints at nodes that are not readers, so that changes are
-/// read in batches. Together with the readers' interval this stays well within `drain_ms`.
-const NON_READER_POLL_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Delay after the first failed call; doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest delay after a failed call.
@@ -61,12 +53,8 @@
 /// Longest time without new versions from readers before a node reads the store itself; every
 /// heartbeat of an endpoint increases the store's version.
 const READER_SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time for which a node asks other nodes for a document before it reads the store.
-const STORE_FALLBACK: Duration = Duration::from_millis(1_200);
 /// Delay between attempts to get a document from other nodes.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Time after the store's return in which expired entries may reappear.
-pub const REAPPEARANCE_TIME: Duration = Duration::from_millis(2_200);
 
 /// Table of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -280,6 +268,7 @@
             self.skip_to_journal_head(board);
             let is_behind = self.is_behind(board);
             let follows = board.is_reader() && !(is_behind && board.is_store_lost());
+            let started = board.now();
             let result = match self.position {
                 Position::Following(after) if follows => {
                     let followed = store.follow(self.table, after, self.wait).await;
@@ -322,7 +311,7 @@
                     self.record_success(board);
                     return Next::Rows(update);
                 }
-                Err(error) => self.record_error(board, &error).await,
+                Err(error) => self.record_error(board, &error, started).await,
             }
         }
     }
@@ -334,7 +323,7 @@
         if board.is_store_lost() {
             return board.roster.borrow().live_count(now) > 0;
         }
-        !board.is_reader() && now.since(since) < STORE_FALLBACK
+        !board.is_reader() && now.since(since) < board.waits.store_fallback
     }
 
     /// Document of another node that is newer than what this node has.
@@ -342,7 +331,7 @@
         let now = board.now();
         let (kind, newest) = match self.table {
             Table::Configuration => {
-                let newest = board.roster.borrow().observed(now).configuration;
+                let newest = board.roster.borrow().newest_configuration(now);
                 (
                     Kind::Configuration,
                     newest.max(Version(board.configuration_version().get().saturating_add(1))),
@@ -375,9 +364,10 @@
     /// Whether another node has newer data, or this node received no update for too long.
     fn is_behind(&self, board: &Blackboard) -> bool {
         let now = board.now();
-        let observed = board.roster.borrow().observed(now);
         let newer = match self.table {
-            Table::Configuration => observed.configuration > board.configuration_version(),
+            Table::Configuration => {
+                board.roster.borrow().newest_configuration(now) > board.configuration_version()
+            }
             Table::Endpoints => board.journal.borrow().has_gap(now),
             Table::Nodes => false,
         };
@@ -394,16 +384,18 @@
 
     fn record_success(&mut self, board: &Blackboard) {
         self.backoff = MIN_BACKOFF;
-        board.store_failed.set(None);
+        let now = board.now();
+        board.outage.borrow_mut().succeed(now);
         if !self.reachable {
             self.reachable = true;
-            board.store_returned.set(Some(board.now()));
+            let recovers = board.outage.borrow().recovery_end(now).map(|end| end.since(now));
             info!(board.log, "store reached"; Event::StoreUp,
-                "table" => format!("{:?}", self.table));
+                "table" => format!("{:?}", self.table),
+                "entries_may_reappear_ms" => recovers.map(crate::reply::millis));
         }
     }
 
-    async fn record_error(&mut self, board: &Blackboard, error: &Error) {
+    async fn record_error(&mut self, board: &Blackboard, error: &Error, started: Time) {
         board.metrics.count("store_fault", &format!("{:?}", self.table));
         if *error == Error::HistoryLost {
             info!(board.log, "history lost"; Event::HistoryLost,
@@ -412,9 +404,7 @@
             self.position = Position::Unread(seen);
             return;
         }
-        let was_lost = board.is_store_lost();
-        board.store_failed.set(Some(board.now()));
-        if !was_lost {
+        if board.outage.borrow_mut().fail(started, board.now()) {
             // The next nodes read the store in place of this one once they know.
             board.broadcast_now.notify_one();
         }
@@ -426,13 +416,6 @@
         tokio::time::sleep(self.backoff).await;
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
-
-    /// Whether the store became reachable so recently, here or at a reader, that entries may be
-    /// missing.
-    fn is_recovering(&self, board: &Blackboard, now: Time) -> bool {
-        let here = board.store_returned.get().is_some_and(|at| now.since(at) < REAPPEARANCE_TIME);
-        here || !self.reachable || board.roster.borrow().observed(now).store_returned
-    }
 }
 
 /// Waits for the nodes' rows. A node that has just started would otherwise assume that it is alone:
@@ -452,7 +435,7 @@
 /// Follows the configuration and activates new versions.
 pub async fn follow_configuration<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
     wait_for_nodes(&board).await;
-    let mut follower = Follower::new(Table::Configuration, CONFIGURATION_POLL_WAIT);
+    let mut follower = Follower::new(Table::Configuration, board.waits.configuration_hold);
     loop {
         let values = match follower.next(&board, &*store).await {
             Next::Document(document) => vec![(document.content().map(Bytes::from), Some(document))],
@@ -513,44 +496,36 @@
 /// Follows the directory of endpoints.
 pub async fn follow_endpoints<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
     wait_for_nodes(&board).await;
-    let mut follower = Follower::new(Table::Endpoints, ENDPOINTS_POLL_WAIT);
-    let mut missing: BTreeMap<EndpointId, Missing> = BTreeMap::new();
+    let mut follower = Follower::new(Table::Endpoints, board.waits.endpoints_hold);
+    let mut missing = Missing::default();
     loop {
         let started = board.now();
-        let update = match follower.next(&board, &*store).await {
+        let next = missing.release_during(&board, follower.next(&board, &*store)).await;
+        let update = match next {
             Next::Rows(update) => update,
             Next::Document(document) => {
                 replace_directory(&board, &document);
                 continue;
             }
         };
-        let now = board.now();
         let change_count = board.journal.borrow().change_count();
-        for (id, version) in apply_update(&board, &*store, update) {
-            missing.entry(id).or_insert(Missing { since: now, version });
-        }
-        let recovering = follower.is_recovering(&board, now);
-        missing.retain(|id, missing| {
-            if is_listed_again(&board, id, missing.since) {
-                return false;
-            }
-            let remove = !recovering || now.since(missing.since) >= REAPPEARANCE_TIME;
-            if remove {
-                directory::remove(&board, id, missing.version);
-            }
-            !remove
-        });
+        let absent = apply_update(&board, &*store, update);
+        // An entry that was listed again may be missing once more.
+        missing.release(&board);
+        missing.add(&board, absent);
+        missing.release(&board);
         let Position::Following(head) = follower.position else { continue };
-        board.journal.borrow_mut().advance(head, missing.len());
+        board.journal.borrow_mut().advance(head, missing.entries.len());
         if board.journal.borrow().change_count() > change_count {
             notify_peers(&board);
         }
         board.endpoints_read.set(true);
         dispatcher::dispatch_all(&board);
+        let waits = &board.waits;
         let interval =
-            if board.is_reader() { READER_POLL_INTERVAL } else { NON_READER_POLL_INTERVAL };
+            if board.is_reader() { waits.reader_interval } else { waits.directory_interval };
         let delay = interval.saturating_sub(board.now().since(started));
-        tokio::time::sleep(delay).await;
+        missing.release_during(&board, tokio::time::sleep(delay)).await;
     }
 }
 
@@ -568,11 +543,79 @@
 }
 
 /// Entry that is no longer in the store.
-struct Missing {
+#[derive(Debug)]
+struct Absence {
     since: Time,
+    /// Time until which it may reappear and stays in use.
+    until: Time,
     version: Version,
 }
 
+/// Entries that are no longer in the store and still in use.
+#[derive(Debug, Default)]
+struct Missing {
+    entries: BTreeMap<EndpointId, Absence>,
+}
+
+impl Missing {
+    /// Adds entries, with the version at which each was found missing.
+    fn add(&mut self, board: &Blackboard, absent: Vec<(EndpointId, Version)>) {
+        let now = board.now();
+        let until = removal_time(board, now);
+        for (id, version) in absent {
+            let is_new = !self.entries.contains_key(&id);
+            if is_new && until > now && board.fleet.borrow().address(&id).is_some() {
+                info!(board.log, "endpoint missing"; Event::EndpointLeaving, "endpoint" => %id,
+                    "reason" => "the store was away", "version" => version.get(),
+                    "in_use_ms" => crate::reply::millis(until.since(now)));
+            }
+            self.entries.entry(id).or_insert(Absence { since: now, until, version });
+        }
+    }
+
+    /// Removes the entries from use that cannot reappear any more.
+    fn release(&mut self, board: &Blackboard) {
+        let now = board.now();
+        self.entries.retain(|id, absence| {
+            if is_listed_again(board, id, absence.since) {
+                return false;
+            }
+            let is_gone = now >= absence.until;
+            if is_gone {
+                directory::remove(board, id, absence.version);
+            }
+            !is_gone
+        });
+    }
+
+    /// Waits for `work`, and removes entries meanwhile as soon as they cannot reappear.
+    async fn release_during<T>(
+        &mut self,
+        board: &Rc<Blackboard>,
+        work: impl Future<Output = T>,
+    ) -> T {
+        let mut work = std::pin::pin!(work);
+        loop {
+            let due = self.entries.values().map(|absence| absence.until).min();
+            let Some(due) = due else { return work.await };
+            let delay = due.since(board.now());
+            match tokio::time::timeout(delay, work.as_mut()).await {
+                Ok(result) => return result,
+                Err(_) => {
+                    self.release(board);
+                    dispatcher::dispatch_all(board);
+                    notify_peers(board);
+                }
+            }
+        }
+    }
+}
+
+/// Time from which on an entry that is missing now is not in use any more.
+fn removal_time(board: &Blackboard, now: Time) -> Time {
+    board.outage.borrow().recovery_end(now).unwrap_or(now)
+}
+
 /// Whether a missing entry has been listed again since.
 fn is_listed_again(board: &Blackboard, id: &EndpointId, since: Time) -> bool {
     board.fleet.borrow().listed_at(id).is_some_and(|at| at > since)
--- a/crates/relay/tests/nodes/support.rs
+++ b/crates/relay/tests/nodes/support.rs
@@ -69,6 +69,7 @@
         repeats: Bound { ratio: 0.2, burst: 50.0, window: Duration::from_secs(10) },
         grace: Duration::from_secs(8),
         apply_time: Duration::from_secs(4),
+        drain_time: Duration::from_secs(4),
         rollout: None,
         learning: false,
         processor,
--- a/crates/relay/tests/nodes/transfer.rs
+++ b/crates/relay/tests/nodes/transfer.rs
@@ -7,6 +7,7 @@
     journal::Change,
     serve,
     transfer::{self, Document, Kind},
+    waits::Waits,
 };
 use std::{
     net::SocketAddr,
@@ -143,7 +144,8 @@
 #[test]
 fn overdue_configuration_is_noticed() {
     let start = Time::from_millis(1_000);
-    let mut overdue = Overdue::new(Duration::from_secs(4));
+    let mut overdue =
+        Overdue::new(Waits::new(Duration::from_secs(4), Duration::from_secs(4)).overdue);
     overdue.announce(Version(5), Version(5), start);
     assert_eq!(overdue.version(start + Duration::from_secs(9)), None, "known");
     overdue.announce(Version(7), Version(5), start);
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -5,7 +5,7 @@
 use relay::{
     digest::{Datagram, Digest, Load, Spent},
     journal::Delta,
-    roster::{Observed, Roster},
+    roster::Roster,
 };
 use sched::fleet::Distance;
 use std::{net::SocketAddr, time::Duration};
@@ -103,7 +103,7 @@
     assert!((roster.live_fraction(start) - 1.0).abs() < 1e-9);
     let later = start + Duration::from_secs(10);
     assert!((roster.live_fraction(later) - 0.5).abs() < 1e-9, "known but not live");
-    assert_eq!(roster.observed(later), Observed::default());
+    assert_eq!(roster.newest_configuration(later), Version(0));
     let removed = roster.remove_silent(start + Duration::from_secs(31));
     assert_eq!(removed.len(), 1);
     assert!((roster.live_fraction(later) - 1.0).abs() < 1e-9);
