Relay: lost readers are replaced within the bounds of the settings

Cause: 2.5 s without a digest, then a check of the role each 0.5 s, then a read: constants that no bound went into. Ruled out: lost datagrams, the read itself.

A log line tells each change of role.

--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -123,6 +123,9 @@
     StoreUp = 511;
     /// The store's change history does not reach back far enough; the whole table is read again.
     HistoryLost = 512;
+    /// The node began or stopped following the store for the others: nodes that do, whether it has lost
+    /// the store.
+    RoleChanged = 513;
     /// A request was marked as suspect after an endpoint failed while running it.
     Strike = 520;
     /// A request was quarantined.
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -199,7 +199,9 @@
             limited_services: RefCell::default(),
             announce_now: Notify::new(),
             roster: RefCell::new(
-                Roster::new(settings.instance.clone()).with_regions(settings.region_count()),
+                Roster::new(settings.instance.clone())
+                    .with_regions(settings.region_count())
+                    .with_waits(waits),
             ),
             rollouts: RefCell::default(),
             coordinating: RefCell::default(),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -62,6 +62,7 @@
         }
     };
     let now = board.now();
+    let had_lost_store = board.roster.borrow().has_lost_store(&digest.from);
     let has_restarted = board.roster.borrow().incarnation(&digest.from) != Some(digest.incarnation);
     if digest.from == board.settings.instance
         || !board.roster.borrow_mut().accept(
@@ -83,7 +84,9 @@
     }
     let known = board.configuration_version();
     board.overdue.borrow_mut().announce(digest.configuration, known, now);
-    if digest.configuration > known || board.journal.borrow().has_gap(now) {
+    // This node may have to read the store in place of the sender.
+    let loses_store = digest.store_lost && !had_lost_store;
+    if digest.configuration > known || board.journal.borrow().has_gap(now) || loses_store {
         board.outdated.notify_waiters();
     }
 }
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -6,6 +6,7 @@
 use crate::{
     digest::{Digest, Waiting, short_hash},
     transfer::Kind,
+    waits::Waits,
 };
 use rand::seq::{IndexedRandom, IteratorRandom};
 use sched::fleet::Distance;
@@ -17,9 +18,6 @@
 /// Digest interval per node of the cluster; bounds what a node receives to about 70 datagrams per
 /// second.
 const INTERVAL_PER_NODE: Duration = Duration::from_millis(14);
-/// Longest interval at which a node that reads the store or owns cells sends digests to all others, well within
-/// [`LIVENESS_TIMEOUT`]; such nodes are few.
-const MAX_READER_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time without a digest after which a node is not live.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Same for nodes outside the zone, in digest intervals.
@@ -131,6 +129,7 @@
     instance: Option<InstanceId>,
     regions: usize,
     owner_weight: u32,
+    waits: Waits,
     peers: HashMap<InstanceId, Peer>,
     /// Secret that authenticates datagrams.
     pub secret: Option<Box<[u8]>>,
@@ -150,6 +149,13 @@
         self
     }
 
+    /// Sets the times after which readers are replaced.
+    #[must_use]
+    pub fn with_waits(mut self, waits: Waits) -> Self {
+        self.waits = waits;
+        self
+    }
+
     /// Whether another node and the secret for exchanging digests are known.
     #[must_use]
     pub fn is_joined(&self) -> bool {
@@ -216,6 +222,12 @@
         true
     }
 
+    /// Whether a node has lost the store, as far as it has said.
+    #[must_use]
+    pub fn has_lost_store(&self, id: &InstanceId) -> bool {
+        self.peers.get(id).is_some_and(|peer| peer.store_lost)
+    }
+
     /// Incarnation of a node's process, once it has been heard.
     #[must_use]
     pub fn incarnation(&self, id: &InstanceId) -> Option<u64> {
@@ -258,7 +270,7 @@
     #[must_use]
     pub fn intervals(&self, is_prominent: bool) -> Intervals {
         let all = interval(self.node_count());
-        let all = if is_prominent { all.min(MAX_READER_INTERVAL) } else { all };
+        let all = if is_prominent { all.min(self.waits.reader_digest) } else { all };
         let zone = interval(self.zone_node_count());
         Intervals { zone, all: all.max(zone) }
     }
@@ -274,11 +286,28 @@
     }
 
     fn is_peer_live(&self, peer: &Peer, now: Time) -> bool {
-        let is_frequent = peer.is_same_zone() || peer.is_reader || !peer.owned.is_empty();
-        let limit = if is_frequent { LIVENESS_TIMEOUT } else { self.liveness_timeout() };
+        self.is_heard(peer, LIVENESS_TIMEOUT, now)
+    }
+
+    /// Whether a peer that often sends digests has sent one within `timeout`, or another one within
+    /// its longer interval.
+    fn is_heard(&self, peer: &Peer, timeout: Duration, now: Time) -> bool {
+        let is_frequent =
+            self.is_small() || peer.is_same_zone() || peer.is_reader || !peer.owned.is_empty();
+        let limit = if is_frequent { timeout } else { self.liveness_timeout() };
         peer.last_digest.is_some_and(|at| now.since(at) < limit)
     }
 
+    /// Whether a node that follows the store is heard, or may be among those that are only known from
+    /// their rows yet.
+    fn hears_reader(&self, now: Time) -> bool {
+        let timeout = self.waits.readers_absence;
+        self.peers.values().any(|peer| match peer.last_digest {
+            Some(at) => peer.is_reader && !peer.store_lost && now.since(at) < timeout,
+            None => now.since(peer.known_since) < timeout,
+        })
+    }
+
     /// Newest configuration in force at any of the other live nodes.
     #[must_use]
     pub fn newest_configuration(&self, now: Time) -> Version {
@@ -289,7 +318,8 @@
     /// Whether this node reads the store for the others.
     ///
     /// The readers of a region are its first nodes by rendezvous hashing. Those that have lost the
-    /// store keep trying, and the next nodes that have not lost it read in their place.
+    /// store keep trying, and the next nodes that have not lost it read in their place. Nodes may
+    /// disagree on which ones are live, so that one that hears no reader at all reads, too.
     /// `store_lost` tells whether this node has lost it.
     #[must_use]
     pub fn is_reader(&self, store_lost: bool, now: Time) -> bool {
@@ -303,10 +333,13 @@
         };
         let is_candidate = |peer: &Peer| {
             let unheard = peer.last_digest.is_none();
-            self.is_peer_live(peer, now) || unheard && now.since(peer.known_since) < PRESUMED_LIVE
+            self.is_heard(peer, self.waits.reader_silence, now)
+                || unheard && now.since(peer.known_since) < PRESUMED_LIVE
         };
         ahead(&is_candidate) < readers
-            || !store_lost && ahead(&|peer| is_candidate(peer) && !peer.store_lost) < readers
+            || !store_lost
+                && (ahead(&|peer| is_candidate(peer) && !peer.store_lost) < readers
+                    || !self.hears_reader(now))
     }
 
     /// Number of live nodes that come before this one for a key, by rendezvous hashing.
--- a/crates/relay/src/transfer.rs
+++ b/crates/relay/src/transfer.rs
@@ -52,7 +52,7 @@
 /// Time limit of a whole upload, so that a frozen recipient does not occupy it.
 const UPLOAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time limit for a reply, and between its parts.
-const STALL_TIMEOUT: Duration = Duration::from_millis(400);
+pub const STALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of nodes asked per fetch.
 const MAX_HOPS: usize = 4;
 /// Largest encoded request, in bytes.
@@ -294,6 +294,19 @@
     board: &Blackboard,
     kind: Kind,
     min_version: Option<Version>,
+) -> Result<Document> {
+    fetch_counted(board, kind, min_version, &Cell::default()).await
+}
+
+/// Same as [`fetch`]; adds the bytes that arrive to `received`.
+///
+/// # Errors
+/// No node that was asked sent it.
+pub async fn fetch_counted(
+    board: &Blackboard,
+    kind: Kind,
+    min_version: Option<Version>,
+    received: &Cell<usize>,
 ) -> Result<Document> {
     let mut referred = None;
     let mut last_error = None;
@@ -304,7 +317,7 @@
         let source = || board.roster.borrow().source(kind, min_version, &tried, now);
         let address = referred.take().or_else(source).context("no live node has the document")?;
         tried.push(address);
-        match ask(board, address, kind, least).await {
+        match ask(board, address, kind, least, received).await {
             Ok(Reply::Document(document)) if document.version >= least => {
                 info!(board.log, "document received"; Event::DocumentReceived,
                     "kind" => format!("{kind:?}"), "version" => document.version.get(),
@@ -326,6 +339,7 @@
     address: SocketAddr,
     kind: Kind,
     min_version: Version,
+    received: &Cell<usize>,
 ) -> Result<Reply> {
     let secret = board.roster.borrow().secret.clone().context("no secret yet")?;
     let request = Request { kind, min_version, from: board.settings.listen.peers };
@@ -340,6 +354,7 @@
     {
         if let Ok(chunk) = frame?.into_data() {
             body.extend_from_slice(&chunk);
+            received.set(received.get() + chunk.len());
         }
         ensure!(body.len() <= MAX_REPLY_BYTES, "reply of more than {MAX_REPLY_BYTES} bytes");
     }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -29,12 +29,13 @@
     },
     transfer::{self, Document, Kind},
 };
-use anyhow::Result;
+use anyhow::{Result, ensure};
 use bytes::Bytes;
 use codes::Event;
 use sched::fleet::Listing;
 use slog::{info, warn};
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet},
     future::Future,
     rc::Rc,
@@ -48,8 +49,6 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest delay after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// Interval at which a node that is not a reader checks whether it has become one.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time without new versions from readers before a node reads the store itself; every
 /// heartbeat of an endpoint increases the store's version.
 const READER_SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -245,6 +244,8 @@
     reachable: bool,
     backoff: Duration,
     last_read: Time,
+    /// Whether the node was a reader at the last check.
+    is_reader: bool,
     /// Time since which the node lacks something that other nodes have.
     behind_since: Option<Time>,
 }
@@ -258,6 +259,7 @@
             reachable: true,
             backoff: MIN_BACKOFF,
             last_read: Time::ZERO,
+            is_reader: false,
             behind_since: None,
         }
     }
@@ -267,7 +269,8 @@
         loop {
             self.skip_to_journal_head(board);
             let is_behind = self.is_behind(board);
-            let follows = board.is_reader() && !(is_behind && board.is_store_lost());
+            self.check_role(board);
+            let follows = self.is_reader && !(is_behind && board.is_store_lost());
             let started = board.now();
             let result = match self.position {
                 Position::Following(after) if follows => {
@@ -281,7 +284,7 @@
                 Position::Following(_) if !is_behind => {
                     // Wakes up on an update or when the role must be checked again.
                     let outdated = board.outdated.notified();
-                    tokio::time::timeout(ROLE_CHECK_INTERVAL, outdated).await.ok();
+                    tokio::time::timeout(board.waits.role_check, outdated).await.ok();
                     continue;
                 }
                 Position::Following(min_version) | Position::Unread(min_version) => {
@@ -316,6 +319,22 @@
         }
     }
 
+    /// Checks whether the node reads the store for the others, and tells them at once if it begins.
+    fn check_role(&mut self, board: &Blackboard) {
+        let is_reader = board.is_reader();
+        let changes = std::mem::replace(&mut self.is_reader, is_reader) != is_reader;
+        if changes && self.table == Table::Endpoints {
+            let now = board.now();
+            info!(board.log, "role"; Event::RoleChanged, "reader" => is_reader,
+                "store_lost" => board.is_store_lost(),
+                "live" => board.roster.borrow().live_count(now));
+            board.metrics.set_gauge("reader", u64::from(is_reader));
+            if is_reader {
+                board.broadcast_now.notify_one();
+            }
+        }
+    }
+
     /// Whether the whole document is requested from other nodes rather than from the store.
     fn asks_nodes(&mut self, board: &Blackboard) -> bool {
         let now = board.now();
@@ -343,7 +362,7 @@
         let is_first = matches!(self.position, Position::Unread(_));
         let min_version = (!is_first).then_some(newest);
         board.roster.borrow().source(kind, min_version, &[], now)?;
-        match transfer::fetch(board, kind, min_version).await {
+        match self.fetch_in_time(board, kind, min_version).await {
             Ok(document) => {
                 if is_first {
                     // A reader that has no position in the table's history reads all of it.
@@ -361,6 +380,32 @@
         }
     }
 
+    /// Fetches a document. Once the store is to be read instead, only a document that arrives is waited
+    /// for: one that is cut off and requested again keeps the link busy.
+    async fn fetch_in_time(
+        &self,
+        board: &Blackboard,
+        kind: Kind,
+        min_version: Option<Version>,
+    ) -> Result<Document> {
+        let received = Cell::new(0);
+        let fetching = transfer::fetch_counted(board, kind, min_version, &received);
+        if board.is_store_lost() || board.is_reader() {
+            return fetching.await;
+        }
+        let mut fetching = std::pin::pin!(fetching);
+        let waited = self.behind_since.map_or(Duration::ZERO, |since| board.now().since(since));
+        let mut wait = board.waits.store_fallback.saturating_sub(waited);
+        loop {
+            let before = received.get();
+            if let Ok(result) = tokio::time::timeout(wait, fetching.as_mut()).await {
+                return result;
+            }
+            ensure!(received.get() > before, "no node sends it in time");
+            wait = transfer::STALL_TIMEOUT;
+        }
+    }
+
     /// Whether another node has newer data, or this node received no update for too long.
     fn is_behind(&self, board: &Blackboard) -> bool {
         let now = board.now();
