Relay: a status of no final answer is not passed on

But 101, which nobody had asked for, was passed on to the caller, and what follows it on that connection has no framing.

Change: only 200 to 599 is a final response (RFC 9110, section 15); anything else counts as lost, 502. Ruled out: informational responses before a final one, which the library reads and drops.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -428,6 +428,12 @@
     Failure::Lost(cause)
 }
 
+/// Whether a status is one of a final response (RFC 9110, section 15). The client has read any other
+/// interim responses; a switch of protocols was not asked for, and what follows it has no framing.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Checks that a response belongs to the request and may be forwarded.
 fn check_response(
     accepted: &admission::Request,
@@ -439,6 +445,9 @@
         Some(_) => return Err(Failure::Lost("answer to another request".into())),
         None => return Err(Failure::Lost("answer that names no request".into())),
     }
+    if !is_final(status) {
+        return Err(Failure::Lost(format!("status {status} of no final answer").into()));
+    }
     if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failure::NotRun(status));
     }
