Relay: a request whose body comes late in a planned stop is refused

Report: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end with no answer.

Here: whole requests are refused from 2.6 s after the signal on if they may outlive the process. But a request whose head came before that and whose body after it was passed on (3.5 s after the signal) and cut (LOST). Cause: the end of the process was looked at only before the body. Ruled out: requests on new connections, waiting ones.

Change: `admission::check` looks again once the body is read: 503, not run, Retry-After.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -94,13 +94,12 @@
     let caller_timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline =
         arrived + route.timeout.map_or(caller_timeout, |timeout| timeout.min(caller_timeout));
-    if outlives_process(board, &route, deadline) {
-        let refused = Refused::new(Code::Draining, "the request would outlive this process");
-        return Err(refused.with_retry_after(RETRY_OTHER_NODE_DELAY));
-    }
+    check_process_end(board, &route, deadline)?;
     let (parts, body) = request.into_parts();
     let payer = organisation.as_ref().map_or_else(anonymous, |o| o.id.clone());
     let body = read_body(board, &configuration, &payer, body, deadline).await?;
+    // The process may have been told to stop while the body arrived.
+    check_process_end(board, &route, deadline)?;
     let fingerprint = fingerprint(organisation.as_deref(), parts.uri.path(), &body);
     let draw: u64 = rand::random();
     let service = route.backend(draw).cloned();
@@ -130,10 +129,15 @@
     })
 }
 
-/// Whether a request may still run when this process exits. Streams have no length limit.
-fn outlives_process(board: &Blackboard, route: &Route, deadline: Time) -> bool {
+/// Refuses a request that may still run when this process exits. Streams have no length limit.
+fn check_process_end(board: &Blackboard, route: &Route, deadline: Time) -> Result<(), Refused> {
     let closing = board.phase() >= Phase::Closing;
-    closing && (route.kind.is_stream() || board.exit_at.get().is_some_and(|end| deadline > end))
+    let ends_later = board.exit_at.get().is_some_and(|end| deadline > end);
+    if closing && (route.kind.is_stream() || ends_later) {
+        let refused = Refused::new(Code::Draining, "the request would outlive this process");
+        return Err(refused.with_retry_after(RETRY_OTHER_NODE_DELAY));
+    }
+    Ok(())
 }
 
 fn authenticate(
