Relay: bounds that change in the settings file are put in force

What callers saw: the grace period in the file became 4 s; a process that had started with 8 s kept bookings beyond it and was killed without an answer to them, with a SIGHUP before or without.

Cause: a running process logged the change and kept all figures. Ruled out: the drain, which follows the time that it gets.

Change: the retry budget, grace_s, config_apply_ms and drain_ms are applied when the file is read again: at SIGHUP, each 5 s, at SIGTERM. The log says what was applied and what needs a restart.

--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -20,7 +20,7 @@
     rollout::{Rollouts, coordinator::Coordinating},
     roster::Owner,
     roster::Roster,
-    settings::Settings,
+    settings::{Bounds, Settings},
     shares::Shares,
     transfer::Library,
     transport::Monitor,
@@ -93,8 +93,10 @@
     pub overdue: RefCell<Overdue>,
     /// Outages of the store.
     pub outage: RefCell<Outage>,
-    /// Times of what follows the store.
-    pub waits: Waits,
+    /// Bounds in force.
+    pub bounds: Cell<Bounds>,
+    /// Times of what follows the store, by the bounds in force.
+    pub waits: Rc<Cell<Waits>>,
     /// Notified to send a digest at once.
     pub broadcast_now: Notify,
     /// Notified when another node has newer data.
@@ -183,7 +185,8 @@
             library: RefCell::default(),
             overdue: RefCell::new(Overdue::new(waits.overdue)),
             outage: RefCell::default(),
-            waits,
+            bounds: Cell::new(settings.bounds()),
+            waits: Rc::new(Cell::new(waits)),
             broadcast_now: Notify::new(),
             outdated: Notify::new(),
             nodes_known: Cell::new(false),
@@ -382,10 +385,22 @@
 
     fn with_budget<T>(&self, service: &ServiceId, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.retry_budgets.borrow_mut();
-        let bound = self.settings.repeats;
+        let bound = self.bounds.get().repeats;
         act(budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound)))
     }
 
+    /// Puts other bounds in force.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        let waits = Waits::new(bounds.apply_time, bounds.drain_time);
+        self.bounds.set(bounds);
+        self.waits.set(waits);
+        self.roster.borrow_mut().set_waits(waits);
+        self.overdue.borrow_mut().set_allowed(waits.overdue);
+        for budget in self.retry_budgets.borrow_mut().values_mut() {
+            budget.set_bound(bounds.repeats);
+        }
+    }
+
     /// Charges a request's tokens to its organisation's quota.
     ///
     /// # Errors
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -273,6 +273,11 @@
         Self { allowed, announced: VecDeque::new() }
     }
 
+    /// Changes the time within which an announced version must be in force.
+    pub fn set_allowed(&mut self, allowed: Duration) {
+        self.allowed = allowed;
+    }
+
     /// Records that another node announces a version newer than `known`.
     pub fn announce(&mut self, version: Version, known: Version, now: Time) {
         let newest = self.announced.back().map_or(known, |(version, _)| *version);
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -14,7 +14,9 @@
 use crate::{
     announce,
     blackboard::{Blackboard, Phase},
-    connections, discovery, dispatcher, holder, owner, peers, quarantine, rollout, serve, transfer,
+    connections, discovery, dispatcher, holder, owner, peers, quarantine, rollout, serve,
+    settings::Reread,
+    transfer,
     watch::{self, Store},
 };
 use anyhow::Result;
@@ -68,21 +70,21 @@
 
 /// Runs a node until it is told to stop. Must be called within a `LocalSet`.
 ///
-/// `changed` rereads the settings file and returns whether it differs from the settings in force.
+/// `reread` reads the settings file again.
 ///
 /// # Errors
 /// An address cannot be bound, or a signal handler cannot be installed.
 pub async fn run<S: Store + 'static>(
     board: Rc<Blackboard>,
     store: Rc<S>,
-    changed: impl Fn() -> Result<bool> + 'static,
+    reread: impl Fn() -> Result<Reread> + 'static,
 ) -> Result<()> {
     let sockets = bind(&board).await?;
     let listen = board.settings.listen;
     info!(board.log, "started"; Event::Started, "callers" => %listen.callers,
         "readiness" => %listen.readiness, "metrics" => %listen.metrics, "peers" => %listen.peers);
     check_shares(&board);
-    let changed = Rc::new(changed);
+    let reread = Rc::new(reread);
     let socket = Rc::clone(&sockets.peers);
     supervise(&board, &sockets.callers, "callers", serve::callers);
     supervise(&board, &Rc::new(()), "connections", |board, _| connections::watch(board));
@@ -102,12 +104,14 @@
     supervise(&board, &socket, "broadcast", peers::broadcast);
     supervise(&board, &socket, "permits", peers::send_permits);
     supervise(&board, &socket, "announce", announce::run);
-    supervise(&board, &changed, "reload", reload);
+    supervise(&board, &reread, "reload", reload);
     supervise(&board, &Rc::new(()), "holder", |board, _| holder::confirm(board));
     supervise(&board, &Rc::new(()), "owner", |board, _| owner::run(board));
     supervise(&board, &Rc::new(()), "dispatcher", |board, _| dispatcher::run(board));
     supervise(&board, &Rc::new(()), "maintenance", |board, _| maintain(board));
     signal(SignalKind::terminate())?.recv().await;
+    // The file may have changed without a signal.
+    apply_settings(&board, &*reread, true);
     drain(&board, &socket).await;
     info!(board.log, "stopped"; Event::Stopped, "in_progress" => board.in_progress.get());
     Ok(())
@@ -146,7 +150,7 @@
     let started = board.now();
     board.set_phase(Phase::Draining);
     info!(board.log, "draining"; Event::Draining, "in_progress" => board.in_progress.get());
-    let max_drain = board.settings.grace.saturating_sub(GRACE_MARGIN);
+    let max_drain = board.bounds.get().grace.saturating_sub(GRACE_MARGIN);
     board.exit_at.set(Some(started + max_drain));
     loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
@@ -197,7 +201,7 @@
 }
 
 /// Checks the settings file on each signal and at intervals.
-async fn reload(board: Rc<Blackboard>, changed: Rc<impl Fn() -> Result<bool>>) {
+async fn reload(board: Rc<Blackboard>, reread: Rc<impl Fn() -> Result<Reread>>) {
     let mut hangups = match signal(SignalKind::hangup()) {
         Ok(hangups) => hangups,
         Err(e) => {
@@ -207,12 +211,28 @@
     loop {
         // The file is checked on a timeout, too.
         let signalled = tokio::time::timeout(SETTINGS_CHECK_INTERVAL, hangups.recv()).await.is_ok();
-        match changed() {
-            Ok(changed) if changed || signalled => info!(board.log, "settings read";
-                Event::SettingsReloaded, "signalled" => signalled, "changed" => changed),
-            Ok(_) => {}
-            Err(e) => warn!(board.log, "settings not reloaded"; Event::SettingsReloaded,
-                "signalled" => signalled, "error" => format!("{e:#}")),
+        apply_settings(&board, &*reread, signalled);
+    }
+}
+
+/// Puts the bounds of the settings file in force. Other settings take effect at the next start.
+fn apply_settings(board: &Blackboard, reread: &impl Fn() -> Result<Reread>, signalled: bool) {
+    let Reread { settings, others_changed } = match reread() {
+        Ok(reread) => reread,
+        Err(e) => {
+            return warn!(board.log, "settings not reloaded"; Event::SettingsReloaded,
+                "signalled" => signalled, "error" => format!("{e:#}"));
         }
+    };
+    let bounds = settings.bounds();
+    let is_applied = bounds != board.bounds.get();
+    if is_applied {
+        board.set_bounds(bounds);
+    }
+    let needs_restart = others_changed || board.settings.needs_restart(&settings);
+    if needs_restart || is_applied || signalled {
+        info!(board.log, "settings read"; Event::SettingsReloaded, "signalled" => signalled,
+            "changed" => needs_restart || is_applied, "bounds_applied" => is_applied,
+            "needs_restart" => needs_restart);
     }
 }
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -152,10 +152,15 @@
     /// Sets the times after which readers are replaced.
     #[must_use]
     pub fn with_waits(mut self, waits: Waits) -> Self {
-        self.waits = waits;
+        self.set_waits(waits);
         self
     }
 
+    /// Changes the times after which readers are replaced.
+    pub fn set_waits(&mut self, waits: Waits) {
+        self.waits = waits;
+    }
+
     /// Whether another node and the secret for exchanging digests are known.
     #[must_use]
     pub fn is_joined(&self) -> bool {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -239,7 +239,6 @@
 #[derive(Debug)]
 struct Follower {
     table: Table,
-    wait: Duration,
     position: Position,
     reachable: bool,
     backoff: Duration,
@@ -251,10 +250,9 @@
 }
 
 impl Follower {
-    fn new(table: Table, wait: Duration) -> Self {
+    fn new(table: Table) -> Self {
         Self {
             table,
-            wait,
             position: Position::Unread(Version(0)),
             reachable: true,
             backoff: MIN_BACKOFF,
@@ -274,7 +272,7 @@
             let started = board.now();
             let result = match self.position {
                 Position::Following(after) if follows => {
-                    let followed = store.follow(self.table, after, self.wait).await;
+                    let followed = store.follow(self.table, after, self.hold(board)).await;
                     followed.map(|page| Update {
                         rows: page.rows,
                         version: page.version.max(after),
@@ -284,7 +282,7 @@
                 Position::Following(_) if !is_behind => {
                     // Wakes up on an update or when the role must be checked again.
                     let outdated = board.outdated.notified();
-                    tokio::time::timeout(board.waits.role_check, outdated).await.ok();
+                    tokio::time::timeout(board.waits.get().role_check, outdated).await.ok();
                     continue;
                 }
                 Position::Following(min_version) | Position::Unread(min_version) => {
@@ -319,6 +317,15 @@
         }
     }
 
+    /// Time for which the store holds back an answer without changes.
+    fn hold(&self, board: &Blackboard) -> Duration {
+        let waits = board.waits.get();
+        match self.table {
+            Table::Configuration => waits.configuration_hold,
+            Table::Endpoints | Table::Nodes => waits.endpoints_hold,
+        }
+    }
+
     /// Checks whether the node reads the store for the others, and tells them at once if it begins.
     fn check_role(&mut self, board: &Blackboard) {
         let is_reader = board.is_reader();
@@ -342,7 +349,7 @@
         if board.is_store_lost() {
             return board.roster.borrow().live_count(now) > 0;
         }
-        !board.is_reader() && now.since(since) < board.waits.store_fallback
+        !board.is_reader() && now.since(since) < board.waits.get().store_fallback
     }
 
     /// Document of another node that is newer than what this node has.
@@ -395,7 +402,7 @@
         }
         let mut fetching = std::pin::pin!(fetching);
         let waited = self.behind_since.map_or(Duration::ZERO, |since| board.now().since(since));
-        let mut wait = board.waits.store_fallback.saturating_sub(waited);
+        let mut wait = board.waits.get().store_fallback.saturating_sub(waited);
         loop {
             let before = received.get();
             if let Ok(result) = tokio::time::timeout(wait, fetching.as_mut()).await {
@@ -480,7 +487,7 @@
 /// Follows the configuration and activates new versions.
 pub async fn follow_configuration<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
     wait_for_nodes(&board).await;
-    let mut follower = Follower::new(Table::Configuration, board.waits.configuration_hold);
+    let mut follower = Follower::new(Table::Configuration);
     loop {
         let values = match follower.next(&board, &*store).await {
             Next::Document(document) => vec![(document.content().map(Bytes::from), Some(document))],
@@ -541,7 +548,7 @@
 /// Follows the directory of endpoints.
 pub async fn follow_endpoints<S: Store>(board: Rc<Blackboard>, store: Rc<S>) {
     wait_for_nodes(&board).await;
-    let mut follower = Follower::new(Table::Endpoints, board.waits.endpoints_hold);
+    let mut follower = Follower::new(Table::Endpoints);
     let mut missing = Missing::default();
     loop {
         let started = board.now();
@@ -566,7 +573,7 @@
         }
         board.endpoints_read.set(true);
         dispatcher::dispatch_all(&board);
-        let waits = &board.waits;
+        let waits = board.waits.get();
         let interval =
             if board.is_reader() { waits.reader_interval } else { waits.directory_interval };
         let delay = interval.saturating_sub(board.now().since(started));
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -54,6 +54,11 @@
         Self { bound, buckets: VecDeque::new() }
     }
 
+    /// Changes the bound; what was counted stays.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+    }
+
     /// Counts a request.
     pub fn record_request(&mut self, now: Time) {
         self.current(now).requests += 1;
