--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -13,10 +13,10 @@
 
 /// Undisturbed time before a guarantee with a time limit holds; the platform's `stable_ms`.
 const STABLE_TIME: Duration = Duration::from_secs(4);
-/// Time until a configuration is in force; the platform's `config_apply_ms`.
-const CONFIGURATION_DELAY: Duration = Duration::from_secs(4);
-/// Time until a draining worker receives no more requests; the platform's `drain_ms`.
-const DRAIN_DELAY: Duration = Duration::from_secs(4);
+/// Time until a configuration is in force; `config_apply_ms` of the nodes' settings.
+const CONFIGURATION_DELAY: Duration = Duration::from_millis(2_500);
+/// Time until a leaving worker receives no more requests; `drain_ms` of the nodes' settings.
+const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
 /// Time until an endpoint stops working on an abandoned request.
 const CANCELLATION_DELAY: Duration = Duration::from_millis(500);
 /// Time past the timeout of a route by which the response must have arrived.
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -225,6 +225,7 @@
             Action::SetFault(number, fault) => self.set_worker_fault(number, fault),
             Action::Replace(number) => self.replace(number).await?,
             Action::Drain(number, draining) => self.drain(number, draining),
+            Action::Withdraw(number) => self.withdraw(number),
             Action::SetStore(store_state) => self.set_store_state(store_state),
             Action::ForgetHistory => {
                 self.record_disturbance(Scope::Store);
@@ -343,13 +344,22 @@
         self.workers[number].draining = draining;
         self.register(number);
         if draining {
-            let from = self.now();
-            self.record.drains.push(Drain { worker: number, from, until: None });
+            self.begin_drain(number);
         } else {
             self.end_drain(number);
         }
     }
 
+    fn withdraw(&mut self, number: usize) {
+        self.store.remove("servers", &self.workers[number].worker.id());
+        self.begin_drain(number);
+    }
+
+    fn begin_drain(&mut self, number: usize) {
+        let from = self.now();
+        self.record.drains.push(Drain { worker: number, from, until: None });
+    }
+
     fn end_drain(&mut self, number: usize) {
         let now = self.now();
         let drains = self.record.drains.iter_mut();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -122,6 +122,8 @@
     Replace(usize),
     /// Registers a worker as draining (`true`) or as ready again.
     Drain(usize, bool),
+    /// Removes the entry of a worker, which goes on to serve.
+    Withdraw(usize),
     /// Sets the behaviour of the store.
     SetStore(Availability),
     /// Makes the store discard its history.
@@ -315,6 +317,8 @@
                 let action = match kind {
                     0 => Action::MoveRoute,
                     1 => Action::ToggleKey,
+                    // Some workers never report that they drain.
+                    _ if draining && worker % 2 == 1 => Action::Withdraw(worker),
                     _ => Action::Drain(worker, draining),
                 };
                 steps.push(Step { at, action });
