Store: positions have an era, and a return from a copy is followed

What callers saw, with our stand-ins: pages counted as older than what was known until the versions had passed those before. A removed endpoint got 118 requests after its bound, a new route was 404 at all nodes, and the nodes' rows and secret were gone; nodes that had just started wrote another secret, and datagrams were refused.

Cause: bare versions were compared across the return. Also found: a 410 left the store counted as lost for 3 s, and a secret that another node had written at the same time was not read back for 30 s.

Rows, secret and evidence are written again at once.

The soak plays drills.

--- a/crates/codes/src/event.rs
+++ b/crates/codes/src/event.rs
@@ -126,6 +126,8 @@
     /// The node began or stopped following the store for the others: nodes that do, whether it has lost
     /// the store.
     RoleChanged = 513;
+    /// The platform's store has come back from an older copy: era before and now, position.
+    StoreRestored = 514;
     /// A request was marked as suspect after an endpoint failed while running it.
     Strike = 520;
     /// A request was quarantined.
--- a/crates/fake-host/src/store.rs
+++ b/crates/fake-host/src/store.rs
@@ -3,14 +3,14 @@
 use anyhow::{Result, ensure};
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderName, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -22,9 +22,14 @@
 
 /// Time of the store's clock at its start.
 const CLOCK_START_MS: u64 = 70_000;
+/// Header with the number of times that the store has come back from a copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
 /// Prefix of the keys of orders and of their status.
 const ROLLOUT_ROWS: &str = "rollout/";
 
+/// Largest number of earlier states that are kept.
+const MAX_COPIES: usize = 2_000;
+
 type Key = (String, String, String);
 
 #[derive(Debug, Clone)]
@@ -44,6 +49,14 @@
     pub value: Value,
 }
 
+/// State at an earlier time.
+#[derive(Debug)]
+struct Copy {
+    at: Instant,
+    rows: BTreeMap<Key, Row>,
+    version: u64,
+}
+
 #[derive(Debug)]
 struct State {
     started: Instant,
@@ -52,6 +65,10 @@
     version: u64,
     /// Changes up to this version are no longer in the feed's history.
     history_start: u64,
+    /// Number of times that the store has come back from a copy.
+    era: u64,
+    /// Earlier states, oldest first.
+    copies: VecDeque<Copy>,
     down: bool,
     /// Requests take effect but get no response.
     drop_responses: bool,
@@ -67,6 +84,8 @@
             rows: BTreeMap::new(),
             version: 0,
             history_start: 0,
+            era: 0,
+            copies: VecDeque::new(),
             down: false,
             drop_responses: false,
             delay: Duration::ZERO,
@@ -79,6 +98,15 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX) + CLOCK_START_MS
     }
 
+    /// Keeps a copy of the state after a change.
+    fn keep_copy(&mut self) {
+        let (rows, version) = (self.rows.clone(), self.version);
+        self.copies.push_back(Copy { at: Instant::now(), rows, version });
+        if self.copies.len() > MAX_COPIES {
+            self.copies.pop_front();
+        }
+    }
+
     fn record_status(&mut self, key: &Key, value: Option<&str>) {
         let Some(service) = key.2.strip_prefix(ROLLOUT_ROWS).filter(|_| key.0 == "status") else {
             return;
@@ -146,6 +174,25 @@
         let version = state.version;
         let key = (table.to_owned(), String::new(), key.to_owned());
         state.rows.insert(key, Row { value, version });
+        state.keep_copy();
+    }
+
+    /// Comes back from a copy of `age`: later changes are gone, and their versions are given out again.
+    pub fn restore(&self, age: Duration) {
+        let mut state = self.state.lock();
+        let until = Instant::now().checked_sub(age);
+        while state.copies.back().is_some_and(|copy| until.is_none_or(|until| copy.at > until)) {
+            state.copies.pop_back();
+        }
+        let copy = state.copies.back().map(|copy| (copy.rows.clone(), copy.version));
+        (state.rows, state.version) = copy.unwrap_or_default();
+        state.era += 1;
+    }
+
+    /// Newest version.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.state.lock().version
     }
 
     /// Orders a rollout of a service, like the operator.
@@ -200,7 +247,8 @@
     };
     tokio::time::sleep(delay).await;
     if down {
-        return Ok(respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
+        let era = state.lock().era;
+        return Ok(respond(StatusCode::SERVICE_UNAVAILABLE, era, &Value::Null));
     }
     let (parts, body) = request.into_parts();
     let query = query(parts.uri.query().unwrap_or_default());
@@ -213,19 +261,21 @@
         }
         _ => (StatusCode::NOT_FOUND, Value::Null),
     };
-    {
+    let era = {
         let state = state.lock();
         ensure!(!state.drop_responses, "response dropped");
         if let Some(fields) = value.as_object_mut() {
             fields.insert("timestamp_ms".into(), state.timestamp().into());
         }
-    }
-    Ok(respond(status, &value))
+        state.era
+    };
+    Ok(respond(status, era, &value))
 }
 
-fn respond(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
+fn respond(status: StatusCode, era: u64, value: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
     *response.status_mut() = status;
+    response.headers_mut().insert(ERA, era.into());
     response
 }
 
@@ -268,7 +318,7 @@
             if state.down {
                 return (StatusCode::SERVICE_UNAVAILABLE, Value::Null);
             }
-            if after < state.history_start {
+            if after < state.history_start || after > state.version {
                 return (StatusCode::GONE, Value::Null);
             }
             let table = field(query, "table");
@@ -311,5 +361,6 @@
     for row in transaction["delete"].as_array().into_iter().flatten() {
         state.rows.insert(key(row), Row { value: None, version });
     }
+    state.keep_copy();
     (StatusCode::OK, json!({"row_version": version}))
 }
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -93,6 +93,10 @@
     pub overdue: RefCell<Overdue>,
     /// Outages of the store.
     pub outage: RefCell<Outage>,
+    /// Number of times that the store had come back from an older copy, once its endpoints are read.
+    pub store_era: Cell<Option<u64>>,
+    /// Notified when the nodes' rows may be gone.
+    pub rows_lost: Notify,
     /// Bounds in force.
     pub bounds: Cell<Bounds>,
     /// Times of what follows the store, by the bounds in force.
@@ -185,6 +189,8 @@
             library: RefCell::default(),
             overdue: RefCell::new(Overdue::new(waits.overdue)),
             outage: RefCell::default(),
+            store_era: Cell::new(None),
+            rows_lost: Notify::new(),
             bounds: Cell::new(settings.bounds()),
             waits: Rc::new(Cell::new(waits)),
             broadcast_now: Notify::new(),
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -8,7 +8,7 @@
 //! would count it as part of the cluster for a while. Nodes that read the store
 //! for the others therefore delete rows of nodes that have been silent for
 //! long. A node that was only partitioned finds its row missing and writes it
-//! again. The table also holds evidence, see [`crate::quarantine`], and
+//! again; the same holds if the store has come back from an older copy. The table also holds evidence, see [`crate::quarantine`], and
 //! rollouts, see [`crate::rollout`].
 
 use crate::{
@@ -91,6 +91,8 @@
     let key = format!("{NODE_ROWS}{}", board.settings.instance);
     let address = format!("{} {}", board.settings.listen.peers, board.settings.zone);
     let mut written = false;
+    // Whether the secret in force is the one in the store: several nodes may write one at once.
+    let mut has_secret = false;
     let mut silent_rows = Orphans::new();
     loop {
         if !written {
@@ -102,8 +104,9 @@
         match read_table(&*store, Table::Nodes, Version(0)).await {
             Ok((rows, _)) => {
                 written &= rows.iter().any(|row| *row.key == *key && row.value.is_some());
-                if let Err(error) = apply_rows(&board, &*store, &rows).await {
-                    log_error(&board, "writing the secret failed", &error);
+                match apply_rows(&board, &*store, &rows).await {
+                    Ok(found) => has_secret = found,
+                    Err(error) => log_error(&board, "writing the secret failed", &error),
                 }
                 if rollout::is_enabled(&board) {
                     rollout::save::load(&board, &*store, &rows);
@@ -117,8 +120,10 @@
             }
             Err(error) => log_error(&board, "reading the nodes' rows failed", &error),
         }
-        let alone = !written || !board.roster.borrow().is_joined();
-        tokio::time::sleep(if alone { READ_INTERVAL_ALONE } else { READ_INTERVAL }).await;
+        let alone = !written || !has_secret || !board.roster.borrow().is_joined();
+        let interval = if alone { READ_INTERVAL_ALONE } else { READ_INTERVAL };
+        // The interval passes unless the rows may be gone.
+        tokio::time::timeout(interval, board.rows_lost.notified()).await.ok();
     }
 }
 
@@ -126,7 +131,8 @@
     info!(board.log, "{}", what; Event::StoreDown, "table" => "Nodes", "fault" => %error);
 }
 
-async fn apply_rows<S: Store>(board: &Blackboard, store: &S, rows: &[Row]) -> Result<(), Error> {
+/// Takes over the rows, and writes the secret if there is none; returns whether there was one.
+async fn apply_rows<S: Store>(board: &Blackboard, store: &S, rows: &[Row]) -> Result<bool, Error> {
     let now = board.now();
     let mut secret = None;
     for row in rows {
@@ -139,13 +145,18 @@
     }
     if let Some(secret) = secret {
         board.roster.borrow_mut().secret = Some(secret.to_vec().into());
-        return Ok(());
+        return Ok(true);
     }
-    let fresh: [u8; SECRET_BYTES] = rand::rng().random();
-    match store.write(SECRET_ROW, &fresh, true).await {
+    // If the store has lost the secret, all nodes keep the one that they have.
+    let known = board.roster.borrow().secret.clone();
+    let secret = known.unwrap_or_else(|| {
+        let fresh: [u8; SECRET_BYTES] = rand::rng().random();
+        fresh.into()
+    });
+    match store.write(SECRET_ROW, &secret, true).await {
         // Another node may have written it first, or the response was lost; the next round reads
         // the result.
-        Ok(()) | Err(Error::Conflict) => Ok(()),
+        Ok(()) | Err(Error::Conflict) => Ok(false),
         Err(error) => Err(error),
     }
 }
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -153,6 +153,12 @@
         self.entries.get(id).is_none_or(|known| version > known.version)
     }
 
+    /// Whether an entry was removed a short time ago.
+    #[must_use]
+    pub fn is_removed(&self, id: &EndpointId) -> bool {
+        self.entries.get(id).is_some_and(|known| known.removed.is_some())
+    }
+
     /// Records a new version of an entry with unchanged content.
     pub fn touch(&mut self, id: &EndpointId, version: Version) {
         self.entries.entry(id.clone()).or_default().version = version;
--- a/crates/relay/src/outage.rs
+++ b/crates/relay/src/outage.rs
@@ -45,6 +45,11 @@
         failing.is_some()
     }
 
+    /// Records that the store has come back from an older copy, in which entries are missing.
+    pub fn restore(&mut self, now: Time) {
+        self.recovered_until = Some(now + REAPPEARANCE_TIME);
+    }
+
     /// Records a call that began at `started` and failed; true if the store was not lost before.
     pub fn fail(&mut self, started: Time, now: Time) -> bool {
         if self.answered.is_some_and(|answered| answered > started) {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -164,6 +164,15 @@
     }
 }
 
+/// Saves all evidence on suspected traits again, if this node reads the store for the others.
+pub fn save_again(board: &Blackboard) {
+    if board.is_reader() {
+        let traits = board.quarantine.borrow().prominent(MAX_REPEATED);
+        board.unsaved_evidence.borrow_mut().extend(traits);
+        board.save_evidence.notify_one();
+    }
+}
+
 /// Writes the rows of suspected traits, and keeps those for later that cannot be written now.
 async fn save_suspected<S: Store>(board: &Blackboard, store: &S) {
     let unsaved = std::mem::take(&mut *board.unsaved_evidence.borrow_mut());
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -5,6 +5,12 @@
 //! table is reread. Pages older than the last known version are rejected. While
 //! the store is unreachable, the last known state stays in force.
 //!
+//! The store may come back from an older copy. Its versions are then newer than
+//! all before ([`Store::era`]), although their content is older: what has left
+//! stays unused until it is written again, and what is missing stays in use as
+//! after an outage. The configuration has a version of its own, which never goes
+//! back.
+//!
 //! Only a few nodes, the readers that [`crate::roster`] chooses, follow the
 //! store. In their digests they state the version of their configuration and
 //! send changes of the directory ([`crate::journal`]). Other nodes that lack a
@@ -22,7 +28,7 @@
 use crate::{
     blackboard::Blackboard,
     configuration::Configuration,
-    directory, dispatcher,
+    directory, dispatcher, quarantine,
     rollout::{
         self, Directive,
         save::{Rows, Status},
@@ -148,6 +154,12 @@
         std::future::ready(Err(Error::Unavailable("no rollouts".into())))
     }
 
+    /// Number of times that the store had come back from an older copy at a position.
+    fn era(&self, position: Version) -> u64 {
+        let _ = position;
+        0
+    }
+
     /// Time of the store's steady clock now, in ms, as of its last response.
     fn clock_ms(&self) -> Option<u64> {
         None
@@ -196,6 +208,8 @@
     pub version: Version,
     /// Whether these are all rows of the table.
     pub complete: bool,
+    /// Whether the store has come back from an older copy since the last read.
+    pub restored: bool,
 }
 
 /// What a follower has obtained.
@@ -266,6 +280,7 @@
     async fn next<S: Store>(&mut self, board: &Blackboard, store: &S) -> Next {
         loop {
             self.skip_to_journal_head(board);
+            self.check_era(board, store);
             let is_behind = self.is_behind(board);
             self.check_role(board);
             let follows = self.is_reader && !(is_behind && board.is_store_lost());
@@ -277,6 +292,7 @@
                         rows: page.rows,
                         version: page.version.max(after),
                         complete: false,
+                        restored: false,
                     })
                 }
                 Position::Following(_) if !is_behind => {
@@ -301,7 +317,13 @@
                         tokio::time::sleep(delay).await;
                     }
                     let read = read_table(store, self.table, min_version).await;
-                    read.map(|(rows, version)| Update { rows, version, complete: true })
+                    read.map(|(rows, version)| Update {
+                        rows,
+                        version,
+                        complete: true,
+                        restored: min_version > Version(0)
+                            && store.era(version) > store.era(min_version),
+                    })
                 }
             };
             self.last_read = board.now();
@@ -317,6 +339,24 @@
         }
     }
 
+    /// Notices that the store has come back from an older copy, by this node's position or by those
+    /// of others.
+    fn check_era<S: Store>(&self, board: &Blackboard, store: &S) {
+        let (Table::Endpoints, Position::Following(position)) = (self.table, self.position) else {
+            return;
+        };
+        let era = store.era(position.max(board.journal.borrow().required()));
+        let Some(before) = board.store_era.replace(Some(era)).filter(|before| *before < era) else {
+            return;
+        };
+        warn!(board.log, "store restored from a copy"; Event::StoreRestored, "before" => before,
+            "era" => era, "position" => position.get());
+        board.metrics.set_gauge("store_era", era);
+        board.outage.borrow_mut().restore(board.now());
+        board.rows_lost.notify_one();
+        quarantine::save_again(board);
+    }
+
     /// Time for which the store holds back an answer without changes.
     fn hold(&self, board: &Blackboard) -> Duration {
         let waits = board.waits.get();
@@ -454,6 +494,8 @@
                 "table" => format!("{:?}", self.table));
             let (Position::Unread(seen) | Position::Following(seen)) = self.position;
             self.position = Position::Unread(seen);
+            // The store has answered.
+            self.record_success(board);
             return;
         }
         if board.outage.borrow_mut().fail(started, board.now()) {
@@ -673,6 +715,15 @@
     board.fleet.borrow().listed_at(id).is_some_and(|at| at > since)
 }
 
+/// Whether an entry of a copy belongs to an endpoint that has reported to leave or has left since. One
+/// that has not left writes its entry again.
+fn has_left(board: &Blackboard, listing: &Listing) -> bool {
+    let fleet = board.fleet.borrow();
+    let known = fleet.listing(&listing.id);
+    let is_leaving = known.is_some_and(|known| known.leaving && known.born == listing.born);
+    is_leaving && !listing.leaving || board.journal.borrow().is_removed(&listing.id)
+}
+
 /// Applies directory rows. Returns the endpoints that are missing, with the version at which each
 /// was found missing.
 fn apply_update<S: Store>(
@@ -681,7 +732,7 @@
     update: Update,
 ) -> Vec<(EndpointId, Version)> {
     let mut missing = Vec::new();
-    let Update { rows, version, complete } = update;
+    let Update { rows, version, complete, restored } = update;
     let mut present = BTreeSet::new();
     for row in rows {
         let id = match EndpointId::new(&row.key) {
@@ -698,6 +749,10 @@
             continue;
         };
         match store.decode_listing(&row.key, &value) {
+            Ok(listing) if restored && has_left(board, &listing) => {
+                info!(board.log, "entry ignored"; Event::EntryIgnored, "endpoint" => %id,
+                    "error" => "it had left before the store came back from a copy");
+            }
             Ok(listing) => directory::upsert(board, listing, row.version),
             Err(e) => {
                 info!(board.log, "entry ignored"; Event::EntryIgnored, "endpoint" => %id,
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -57,6 +57,8 @@
     worker: Worker,
     service: &'static str,
     draining: bool,
+    /// Whether its entry was removed although it serves.
+    withdrawn: bool,
 }
 
 /// Processes, stand-ins and links of a run.
@@ -114,7 +116,13 @@
             let worker = start_worker(number).await?;
             let link = Link::start(worker.address).await?;
             let service = if number % DESK_WORKER_INTERVAL == 0 { "desk" } else { "llm" };
-            environment.workers.push(Endpoint { link, worker, service, draining: false });
+            environment.workers.push(Endpoint {
+                link,
+                worker,
+                service,
+                draining: false,
+                withdrawn: false,
+            });
             environment.register(number);
         }
         environment.configure();
@@ -159,6 +167,13 @@
 
     fn configure(&mut self) {
         self.version += 1;
+        self.write_configuration();
+        let configuration =
+            Configuration { from: self.now(), prefix: self.prefix, key_valid: self.key_valid };
+        self.record.configurations.push(configuration);
+    }
+
+    fn write_configuration(&self) {
         let moving = route("moving", self.prefix.path(), "llm", "idempotent", false);
         let withdrawn = if self.key_valid { &["key-3"][..] } else { &[] };
         let mut document = testbed::configuration();
@@ -179,9 +194,23 @@
             testbed::organisation("org-3", withdrawn, 0, 0),
         ]);
         self.store.put("op", "config", &document);
-        let configuration =
-            Configuration { from: self.now(), prefix: self.prefix, key_valid: self.key_valid };
-        self.record.configurations.push(configuration);
+    }
+
+    /// Brings the store back from a copy; the operator and the workers write again.
+    fn restore(&mut self, age: Duration) {
+        self.record_disturbance(Scope::Store);
+        self.store.restore(age);
+        self.write_configuration();
+        for (_, _, replaced) in &self.replaced {
+            self.store.remove("servers", &replaced.id());
+        }
+        for number in 0..self.workers.len() {
+            if self.workers[number].withdrawn {
+                self.store.remove("servers", &self.workers[number].worker.id());
+            } else {
+                self.register(number);
+            }
+        }
     }
 
     fn begin_disturbance(&mut self, source: Source, scope: Scope) {
@@ -231,6 +260,7 @@
                 self.record_disturbance(Scope::Store);
                 self.store.forget_history();
             }
+            Action::Restore(age) => self.restore(age),
             Action::MoveRoute => {
                 self.prefix = self.prefix.other();
                 self.configure();
@@ -332,6 +362,7 @@
             unchanged => unchanged,
         };
         entry.draining = false;
+        entry.withdrawn = false;
         self.store.remove("servers", &crashed.id());
         self.replaced.push((number, service, crashed));
         self.end_drain(number);
@@ -342,6 +373,7 @@
 
     fn drain(&mut self, number: usize, draining: bool) {
         self.workers[number].draining = draining;
+        self.workers[number].withdrawn = false;
         self.register(number);
         if draining {
             self.begin_drain(number);
@@ -351,6 +383,7 @@
     }
 
     fn withdraw(&mut self, number: usize) {
+        self.workers[number].withdrawn = true;
         self.store.remove("servers", &self.workers[number].worker.id());
         self.begin_drain(number);
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -128,6 +128,8 @@
     SetStore(Availability),
     /// Makes the store discard its history.
     ForgetHistory,
+    /// Brings the store back from a copy of this age.
+    Restore(Duration),
     /// Switches the moving route to its other prefix.
     MoveRoute,
     /// Revokes an API key, or restores it.
@@ -283,7 +285,10 @@
             }
             FaultKind::Replacements => (Action::Replace(self.worker()), None, until),
             FaultKind::Store if self.random.random_bool(0.2) => {
-                (Action::ForgetHistory, None, until)
+                let age = until - at;
+                let is_drill = age.as_millis() % 2 == 1;
+                let action = if is_drill { Action::Restore(age) } else { Action::ForgetHistory };
+                (action, None, until)
             }
             FaultKind::Store => (
                 Action::SetStore(self.store_state()),
