Store: entries that a copy lacks stay in use from the first read on

Cause: the return from a copy was noticed after the first read had been applied, so that entries that the copy lacked were removed if the store had been away for less than an interval of the heartbeats.

Change: the era is checked before the update is applied.

--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -25,6 +25,9 @@
 //! store is away, the nodes take each other's place as readers, so that all that
 //! may read after its return have noticed.
 
+mod absence;
+
+use self::absence::Missing;
 use crate::{
     blackboard::Blackboard,
     configuration::Configuration,
@@ -40,13 +43,7 @@
 use codes::Event;
 use sched::fleet::Listing;
 use slog::{info, warn};
-use std::{
-    cell::Cell,
-    collections::{BTreeMap, BTreeSet},
-    future::Future,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, collections::BTreeSet, future::Future, rc::Rc, time::Duration};
 use units::{EndpointId, ServiceId, Time, Version};
 
 /// Longest wait for the nodes' rows before the first configuration is read.
@@ -332,6 +329,8 @@
                     self.position = Position::Following(update.version);
                     self.behind_since = None;
                     self.record_success(board);
+                    // Before the update is applied: entries that a copy lacks stay in use.
+                    self.check_era(board, store);
                     return Next::Rows(update);
                 }
                 Err(error) => self.record_error(board, &error, started).await,
@@ -609,7 +608,7 @@
         missing.add(&board, absent);
         missing.release(&board);
         let Position::Following(head) = follower.position else { continue };
-        board.journal.borrow_mut().advance(head, missing.entries.len());
+        board.journal.borrow_mut().advance(head, missing.len());
         if board.journal.borrow().change_count() > change_count {
             notify_peers(&board);
         }
@@ -636,85 +635,6 @@
     }
 }
 
-/// Entry that is no longer in the store.
-#[derive(Debug)]
-struct Absence {
-    since: Time,
-    /// Time until which it may reappear and stays in use.
-    until: Time,
-    version: Version,
-}
-
-/// Entries that are no longer in the store and still in use.
-#[derive(Debug, Default)]
-struct Missing {
-    entries: BTreeMap<EndpointId, Absence>,
-}
-
-impl Missing {
-    /// Adds entries, with the version at which each was found missing.
-    fn add(&mut self, board: &Blackboard, absent: Vec<(EndpointId, Version)>) {
-        let now = board.now();
-        let until = removal_time(board, now);
-        for (id, version) in absent {
-            let is_new = !self.entries.contains_key(&id);
-            if is_new && until > now && board.fleet.borrow().address(&id).is_some() {
-                info!(board.log, "endpoint missing"; Event::EndpointLeaving, "endpoint" => %id,
-                    "reason" => "the store was away", "version" => version.get(),
-                    "in_use_ms" => crate::reply::millis(until.since(now)));
-            }
-            self.entries.entry(id).or_insert(Absence { since: now, until, version });
-        }
-    }
-
-    /// Removes the entries from use that cannot reappear any more.
-    fn release(&mut self, board: &Blackboard) {
-        let now = board.now();
-        self.entries.retain(|id, absence| {
-            if is_listed_again(board, id, absence.since) {
-                return false;
-            }
-            let is_gone = now >= absence.until;
-            if is_gone {
-                directory::remove(board, id, absence.version);
-            }
-            !is_gone
-        });
-    }
-
-    /// Waits for `work`, and removes entries meanwhile as soon as they cannot reappear.
-    async fn release_during<T>(
-        &mut self,
-        board: &Rc<Blackboard>,
-        work: impl Future<Output = T>,
-    ) -> T {
-        let mut work = std::pin::pin!(work);
-        loop {
-            let due = self.entries.values().map(|absence| absence.until).min();
-            let Some(due) = due else { return work.await };
-            let delay = due.since(board.now());
-            match tokio::time::timeout(delay, work.as_mut()).await {
-                Ok(result) => return result,
-                Err(_) => {
-                    self.release(board);
-                    dispatcher::dispatch_all(board);
-                    notify_peers(board);
-                }
-            }
-        }
-    }
-}
-
-/// Time from which on an entry that is missing now is not in use any more.
-fn removal_time(board: &Blackboard, now: Time) -> Time {
-    board.outage.borrow().recovery_end(now).unwrap_or(now)
-}
-
-/// Whether a missing entry has been listed again since.
-fn is_listed_again(board: &Blackboard, id: &EndpointId, since: Time) -> bool {
-    board.fleet.borrow().listed_at(id).is_some_and(|at| at > since)
-}
-
 /// Whether an entry of a copy belongs to an endpoint that has reported to leave or has left since. One
 /// that has not left writes its entry again.
 fn has_left(board: &Blackboard, listing: &Listing) -> bool {
