--- a/crates/fake-host/src/lib.rs
+++ b/crates/fake-host/src/lib.rs
@@ -4,10 +4,10 @@
 //! by side. Faults are injected at run time through the handles.
 //!
 //! * [`store`]: rows, change feed and transactions; outages, dropped responses,
-//!   lost history; orders of rollouts and their status.
+//!   lost history, return from a copy; orders of rollouts and their status.
 //! * [`worker`]: plain and streamed responses with receipts; crashes, rejected
-//!   requests, and dropped, truncated, repeated or unsigned responses; versions
-//!   with defects.
+//!   requests, pauses in reading, and dropped, truncated, repeated or unsigned
+//!   responses; versions with defects.
 //! * [`node`]: a relay process with its settings file.
 //! * [`caller`]: requests, on a new or a kept connection.
 //! * [`testbed`]: a store, workers and a configuration, ready for nodes.
--- a/crates/fake-host/src/testbed.rs
+++ b/crates/fake-host/src/testbed.rs
@@ -8,9 +8,12 @@
     path::Path,
     time::{Duration, Instant},
 };
+use tokio::task::JoinHandle;
 
 /// Number of a node's last lines in an error.
 const SHOWN_LINES: usize = 30;
+/// Interval at which a worker writes its entry; the platform's `heartbeat_ms`.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Longest wait for a readiness status.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -57,6 +60,14 @@
         "tenants": [organisation("org-1", &["key-1"], 0, 0)]})
 }
 
+/// The default [`configuration`] with one organisation that holds these keys.
+#[must_use]
+pub fn configuration_with_keys(keys: &[&str]) -> Value {
+    let mut document = configuration();
+    document["tenants"] = json!([organisation("org-1", keys, 0, 0)]);
+    document
+}
+
 impl Testbed {
     /// Starts a store and workers, without a configuration.
     ///
@@ -97,6 +108,21 @@
         self.store.put("servers", &worker.id(), &worker.entry("llm", "z1", state));
     }
 
+    /// Writes a worker's entry again and again, like the workers of the platform, until the task is
+    /// aborted.
+    #[must_use]
+    pub fn beat(&self, worker: &Worker) -> JoinHandle<()> {
+        let (store, worker) = (self.store.clone(), worker.clone());
+        tokio::spawn(async move {
+            for number in 2_u64.. {
+                tokio::time::sleep(HEARTBEAT).await;
+                let mut entry = worker.entry("llm", "z1", "ready");
+                entry["seq"] = number.into();
+                store.put("servers", &worker.id(), &entry);
+            }
+        })
+    }
+
     /// Writes a configuration to the store under a higher version, which is returned.
     pub fn configure(&mut self, mut document: Value) -> u64 {
         self.version += 3;
