--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -5,7 +5,7 @@
 //! whoever waits for it has time limits of its own ([`crate::connections`], the
 //! deadline of a request). A peer that is gone acknowledges nothing.
 //! `TCP_USER_TIMEOUT` ends connections to both alike, so that it is set only
-//! where the kernel gives no [`info`] on a connection. Otherwise the [`Monitor`]
+//! where the kernel gives no state of a connection. Otherwise the [`Monitor`]
 //! makes each connection with unconfirmed data look at it, and a connection
 //! whose peer is gone fails with [`ErrorKind::TimedOut`]. While nothing is
 //! outstanding, TCP keepalive does the same.
