--- a/crates/relay/src/outage.rs
+++ b/crates/relay/src/outage.rs
@@ -6,43 +6,34 @@
 //!
 //! Endpoints' entries may expire while they cannot be written. They are back
 //! within `REAPPEARANCE_TIME` of the store's return, so that an entry that
-//! disappears in that time may stay in use until its end. An outage that is
-//! shorter than the interval at which endpoints write their entries lets none
-//! expire.
+//! disappears in that time may stay in use until its end.
 
 use std::time::Duration;
 use units::Time;
 
 /// Time after the store's return in which expired entries may reappear.
 pub const REAPPEARANCE_TIME: Duration = Duration::from_millis(2_200);
-/// Shortest time without an answer in which an entry may expire.
-const MIN_OUTAGE: Duration = Duration::from_millis(1_200);
 /// Time after a failed call for which the store counts as lost. After that it is not known.
 const RETRY_INTERVAL: Duration = Duration::from_secs(3);
-/// Time between two answers after which only failed calls tell how long the store was away.
-const UNOBSERVED: Duration = Duration::from_secs(3);
 
 /// What the calls of this node show.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Outage {
     answered: Option<Time>,
-    /// Start of the first of the calls that have failed since, and the time at which the last one did.
-    failing: Option<(Time, Time)>,
+    /// Time at which a call last failed, unless one has been answered since.
+    failed: Option<Time>,
     recovered_until: Option<Time>,
 }
 
 impl Outage {
     /// Records an answer; true if the store was lost before.
     pub fn succeed(&mut self, now: Time) -> bool {
-        let gap = self.answered.map(|answered| now.since(answered));
-        let observed = gap.filter(|gap| *gap < UNOBSERVED);
-        let failing = self.failing.take().map(|(since, _)| now.since(since));
-        let was_away = failing.is_some_and(|failing| observed.unwrap_or(failing) >= MIN_OUTAGE);
+        let was_away = self.failed.take().is_some();
         if was_away {
             self.recovered_until = Some(now + REAPPEARANCE_TIME);
         }
         self.answered = Some(now);
-        failing.is_some()
+        was_away
     }
 
     /// Records that the store has come back from an older copy, in which entries are missing.
@@ -56,15 +47,14 @@
             return false;
         }
         let was_lost = self.is_lost(now);
-        let since = self.failing.map_or(started, |(since, _)| since);
-        self.failing = Some((since, now));
+        self.failed = Some(now);
         !was_lost
     }
 
     /// Whether calls fail now.
     #[must_use]
     pub fn is_lost(&self, now: Time) -> bool {
-        self.failing.is_some_and(|(_, last)| now.since(last) < RETRY_INTERVAL)
+        self.failed.is_some_and(|failed| now.since(failed) < RETRY_INTERVAL)
     }
 
     /// Time until which entries may reappear, if the store has returned.
--- a/crates/relay/tests/outage.rs
+++ b/crates/relay/tests/outage.rs
@@ -43,21 +43,14 @@
     assert_eq!(outage.recovery_end(at(5_100)), Some(at(4_000) + REAPPEARANCE_TIME));
 }
 
-/// No entry expires within one interval of the heartbeats.
+/// How long the store was away is not known from the calls, and entries may have been about to expire.
 #[test]
-fn single_failed_call_is_no_outage() {
+fn entries_may_reappear_after_a_single_failed_call() {
     let mut outage = calm();
     outage.fail(at(1_700), at(1_710));
     assert!(outage.succeed(at(1_900)));
-    assert_eq!(outage.recovery_end(at(1_900)), None);
-    // A node that has not called the store for long cannot count from its last answer.
-    outage.fail(at(60_000), at(60_010));
-    outage.succeed(at(60_200));
-    assert_eq!(outage.recovery_end(at(60_200)), None);
-    outage.fail(at(120_000), at(120_800));
-    outage.fail(at(121_000), at(121_800));
-    outage.succeed(at(122_000));
-    assert_eq!(outage.recovery_end(at(122_000)), Some(at(122_000) + REAPPEARANCE_TIME));
+    assert_eq!(outage.recovery_end(at(1_900)), Some(at(1_900) + REAPPEARANCE_TIME));
+    assert_eq!(outage.recovery_end(at(1_900) + REAPPEARANCE_TIME), None);
 }
 
 #[test]
