--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -164,12 +164,6 @@
 }
 
 impl Node {
-    /// Sends a signal to the process.
-    fn signal(&self, name: &str) -> Result<()> {
-        Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status()?;
-        Ok(())
-    }
-
     /// Starts the process again after it has ended.
     fn restart(&mut self) -> Result<()> {
         self.child.wait()?;
@@ -330,8 +324,8 @@
 
     /// Kills all nodes at once and starts them again after a delay.
     pub fn kill_nodes(&mut self, delay: Duration) -> Result<()> {
-        for node in &self.nodes {
-            node.signal("KILL")?;
+        for node in &mut self.nodes {
+            node.child.kill()?;
         }
         self.record.add("all nodes are killed");
         for node in &mut self.nodes {
