Relay: a deadly request is told from sound ones that resemble it

Each sending crashed two of three workers, and bookings that these had accepted ended with 502.

Cause: a request was recognised by a hash of organisation, path and body, and whatever survives clears what it is recognised by. Host, method and header fields were left out in the same way.

Ruled out: that crashes do not add up (two within 100 ms count once), or are not noted or announced.

Change: a request has nested traits, `relay::identity` and `sched::quarantine::Trait`: the content as before, the target (with host, method, query, and where the path ends) and the variant (with the header fields that reach endpoints; a second one without the fields of tracing, if there are any). A survivor clears what it shares with a deadly request, and the narrower traits keep their evidence. Variants do not explain crashes of their own target, so that a deadly request with other header fields is still refused. The body is hashed once, the number of traits does not depend on header fields, a node keeps 3,072 traits (1,024 before), and evicts 64 at a time.

New traits go behind an empty datagram of evidence and in rows of another prefix, which older builds do not read: they would take such a trait for an explanation and let the request through.

The stand-in's port now refuses connections before those that are open end, as at the end of a process.

--- a/crates/fake-host/src/worker.rs
+++ b/crates/fake-host/src/worker.rs
@@ -135,6 +135,53 @@
     }
 }
 
+/// Requests under which a worker crashes when it begins to run them. All conditions must hold.
+#[derive(Debug, Clone, Default)]
+pub struct Deadly {
+    method: Option<Box<str>>,
+    target: Option<Box<str>>,
+    header: Option<(Box<str>, Box<str>)>,
+    part: Option<Box<str>>,
+}
+
+impl Deadly {
+    /// Requests with this path and query.
+    #[must_use]
+    pub fn target(target: &str) -> Self {
+        Self { target: Some(target.into()), ..Self::default() }
+    }
+
+    /// Requests with a part of a prompt.
+    #[must_use]
+    pub fn part(part: &str) -> Self {
+        Self { part: Some(part.into()), ..Self::default() }
+    }
+
+    /// Only with this method.
+    #[must_use]
+    pub fn with_method(self, method: &str) -> Self {
+        Self { method: Some(method.into()), ..self }
+    }
+
+    /// Only with a header of this value; its name is in lower case.
+    #[must_use]
+    pub fn with_header(self, name: &str, value: &str) -> Self {
+        Self { header: Some((name.into(), value.into())), ..self }
+    }
+
+    fn applies(&self, run: &Run) -> bool {
+        let mut words = run.request_line.split(' ');
+        let (method, target) = (words.next(), words.next());
+        let header = |name: &str| run.headers.get(name).map(String::as_str);
+        let prompt = header("x-prompt-prefix").unwrap_or_default();
+        let mut parts = prompt.split(',').filter_map(|part| part.split(':').next());
+        self.method.as_deref().is_none_or(|deadly| method == Some(deadly))
+            && self.target.as_deref().is_none_or(|deadly| target == Some(deadly))
+            && self.header.as_ref().is_none_or(|(name, value)| header(name) == Some(value))
+            && self.part.as_deref().is_none_or(|deadly| parts.any(|part| part == deadly))
+    }
+}
+
 /// Spreads numbers evenly, the same in each run of a test.
 fn mix(number: usize) -> u64 {
     let number = u64::try_from(number).unwrap_or_default().wrapping_add(0x9e37_79b9_7f4a_7c15);
@@ -194,8 +241,9 @@
     work: Duration,
     /// Bytes that are appended to plain responses.
     padding: usize,
-    /// Part of a prompt under which the worker crashes.
-    deadly_part: Option<Box<str>>,
+    /// Requests under which the worker crashes.
+    deadly: Option<Deadly>,
+    crashed_at: Option<Instant>,
     /// Whether responses end with their connection, without a length or chunks.
     unframed: bool,
     /// Load that responses state.
@@ -220,9 +268,13 @@
     }
 
     fn crashes_under(&self, run: &Run) -> bool {
-        let prompt = run.headers.get("x-prompt-prefix").map(String::as_str).unwrap_or_default();
-        let mut parts = prompt.split(',').filter_map(|part| part.split(':').next());
-        self.deadly_part.as_deref().is_some_and(|deadly| parts.any(|part| part == deadly))
+        self.deadly.as_ref().is_some_and(|deadly| deadly.applies(run))
+    }
+
+    /// Ends all connections and the listener.
+    fn stop(&mut self) {
+        self.crashed_at.get_or_insert_with(Instant::now);
+        self.stop.send_replace(true);
     }
 }
 
@@ -257,7 +309,8 @@
             read_pause: Duration::ZERO,
             work: Duration::ZERO,
             padding: 0,
-            deadly_part: None,
+            deadly: None,
+            crashed_at: None,
             unframed: false,
             load: "1,0,4,100".into(),
             headers: Box::default(),
@@ -338,9 +391,9 @@
         self.state.lock().padding = padding;
     }
 
-    /// Sets a part of a prompt under which the worker crashes when it begins a response.
-    pub fn set_deadly_part(&self, part: &str) {
-        self.state.lock().deadly_part = Some(part.into());
+    /// Sets the requests under which the worker crashes when it begins to run them.
+    pub fn set_deadly(&self, deadly: Deadly) {
+        self.state.lock().deadly = Some(deadly);
     }
 
     /// Changes the identifier, as if another worker had started at the address.
@@ -379,10 +432,16 @@
         *self.state.lock().stop.borrow()
     }
 
+    /// Time at which the worker crashed.
+    #[must_use]
+    pub fn crashed_at(&self) -> Option<Instant> {
+        self.state.lock().crashed_at
+    }
+
     /// Closes the listener and all connections, like a crash, and waits until connections are
     /// refused.
     pub async fn crash(&self) {
-        self.state.lock().stop.send_replace(true);
+        self.state.lock().stop();
         while TcpStream::connect(self.address).await.is_ok() {
             tokio::time::sleep(CRASH_POLL_INTERVAL).await;
         }
@@ -401,23 +460,27 @@
     }
 }
 
-async fn accept(listener: TcpListener, state: Arc<Mutex<State>>, stopped: watch::Receiver<bool>) {
-    let mut stop = stopped.clone();
+/// Accepts connections until the worker crashes. As at the end of a process, the port refuses
+/// connections before those that are open are closed.
+async fn accept(listener: TcpListener, state: Arc<Mutex<State>>, mut stop: watch::Receiver<bool>) {
+    let (end, ended) = watch::channel(false);
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { return };
-                let (state, mut stop) = (Arc::clone(&state), stopped.clone());
+                let (state, mut ended) = (Arc::clone(&state), ended.clone());
                 tokio::spawn(async move {
                     tokio::select! {
                         _ = serve(stream, state) => {}
-                        _ = stop.wait_for(|stop| *stop) => {}
+                        _ = ended.wait_for(|ended| *ended) => {}
                     }
                 });
             }
-            _ = stop.wait_for(|stop| *stop) => return,
+            _ = stop.wait_for(|stop| *stop) => break,
         }
     }
+    drop(listener);
+    end.send_replace(true);
 }
 
 async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>) -> Result<()> {
@@ -555,7 +618,7 @@
     let (running, bad_delay) = {
         let mut locked = state.lock();
         if locked.crashes_under(&run) {
-            locked.stop.send_replace(true);
+            locked.stop();
         }
         let (number, concurrent) = (locked.runs.len(), locked.running + 1);
         let defect = locked.defect.clone().filter(|d| d.applies(&run, number, concurrent));
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -4,19 +4,19 @@
     blackboard::{Blackboard, Phase},
     configuration::{Configuration, Organisation, Route},
     dispatcher::Submission,
+    identity,
     reply::{RETRY_DELAY, RETRY_OTHER_NODE_DELAY, Refused},
     request,
 };
 use bytes::Bytes;
 use codes::Code;
-use http::{HeaderMap, Method, header, uri::PathAndQuery};
+use http::{HeaderMap, Method, Uri, header, uri::PathAndQuery};
 use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use sched::backlog::Deadlines;
+use sched::{backlog::Deadlines, quarantine::Trait};
 use std::{rc::Rc, time::Duration};
 use units::{Fingerprint, OrganisationId, RequestId, ServiceId, Time, Tokens};
-use xxhash_rust::xxh3::Xxh3;
 
 /// Timeout of a request that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -50,9 +50,9 @@
     pub patience: Duration,
     /// Parameters for the dispatcher.
     pub submission: Submission,
-    /// What the request is recognised by if endpoints crash under it: itself, and the parts of its
-    /// prompt that others may share.
-    pub traits: Box<[Fingerprint]>,
+    /// What the request is recognised by if endpoints crash under it: itself, see [`identity`], and
+    /// the parts of its prompt that others may share.
+    pub traits: Box<[Trait]>,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -83,8 +83,7 @@
         return Err(refused.with_retry_after(RETRY_OTHER_NODE_DELAY));
     }
     let head = head.map_err(|name| Refused::new(Code::Malformed, format!("header {name}")))?;
-    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+    let host = host(request.headers(), request.uri());
     let route = configuration.route(host, request.uri().path());
     let route = Rc::clone(route.ok_or_else(|| {
         let cause = format!("{host}{} in version {}", request.uri().path(), configuration.version);
@@ -100,19 +99,28 @@
     let body = read_body(board, &configuration, &payer, body, deadline).await?;
     // The process may have been told to stop while the body arrived.
     check_process_end(board, &route, deadline)?;
-    let fingerprint = fingerprint(organisation.as_deref(), parts.uri.path(), &body);
+    let sent = identity::Request {
+        organisation: organisation.as_deref().map_or("", |o| o.id.as_str()),
+        host: self::host(&parts.headers, &parts.uri),
+        method: &parts.method,
+        uri: &parts.uri,
+        headers: &parts.headers,
+        body: &body,
+    };
+    let content = sent.content();
+    let shared_parts = head.shared_parts.iter().copied().map(Trait::Shared);
+    let traits = sent.traits(content, &*board.headers).into_iter().chain(shared_parts).collect();
     let draw: u64 = rand::random();
     let service = route.backend(draw).cloned();
     let service = service.ok_or_else(|| Refused::new(Code::NoEndpoint, "route has no service"))?;
     let mut submission =
-        submission(&head, &route, organisation.as_deref(), service, fingerprint, arrived, deadline);
+        submission(&head, &route, organisation.as_deref(), service, content, arrived, deadline);
     if let Some(organisation) = &organisation
         && board.uses_owner(&submission.service)
     {
         submission.cost = head.cost(organisation.default_cost);
     }
     let path = parts.uri.path_and_query().cloned();
-    let traits = std::iter::once(fingerprint).chain(head.shared_parts.iter().copied()).collect();
     Ok(Request {
         head,
         traits,
@@ -129,6 +137,12 @@
     })
 }
 
+/// Host that selects the route.
+fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
+    let host = headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    host.or_else(|| uri.host()).unwrap_or_default()
+}
+
 /// Refuses a request that may still run when this process exits. Streams have no length limit.
 fn check_process_end(board: &Blackboard, route: &Route, deadline: Time) -> Result<(), Refused> {
     let closing = board.phase() >= Phase::Closing;
@@ -256,11 +270,3 @@
         Refused::new(Code::Malformed, format!("body: {error}"))
     }
 }
-
-fn fingerprint(organisation: Option<&Organisation>, path: &str, body: &[u8]) -> Fingerprint {
-    let mut hash = Xxh3::new();
-    hash.update(organisation.map_or("", |o| o.id.as_str()).as_bytes());
-    hash.update(path.as_bytes());
-    hash.update(body);
-    Fingerprint(hash.digest())
-}
--- a/crates/relay/src/blackboard.rs
+++ b/crates/relay/src/blackboard.rs
@@ -27,7 +27,12 @@
     waits::Waits,
 };
 use codes::Event;
-use sched::{budget::Budget, fleet::Fleet, quarantine::Tracker, quota::Limiter};
+use sched::{
+    budget::Budget,
+    fleet::Fleet,
+    quarantine::{Tracker, Trait},
+    quota::Limiter,
+};
 use slog::{Logger, error};
 use std::{
     cell::{Cell, RefCell},
@@ -37,10 +42,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::{Notify, watch};
-use units::{
-    EndpointId, Fingerprint, OrganisationId, RequestId, ServiceId, Time, Tokens, Version,
-    time::Clock,
-};
+use units::{EndpointId, OrganisationId, RequestId, ServiceId, Time, Tokens, Version, time::Clock};
 
 /// Divisor for sharing an endpoint's connections: at most half of all nodes use one endpoint at the
 /// same time, because each prefers its own availability zone.
@@ -120,9 +122,9 @@
     /// Evidence against what endpoints crashed under.
     pub quarantine: RefCell<Tracker>,
     /// Traits whose evidence is to be sent to the other nodes.
-    pub unsent_evidence: RefCell<BTreeSet<Fingerprint>>,
+    pub unsent_evidence: RefCell<BTreeSet<Trait>>,
     /// Traits whose evidence is to be saved if they are suspected.
-    pub unsaved_evidence: RefCell<BTreeSet<Fingerprint>>,
+    pub unsaved_evidence: RefCell<BTreeSet<Trait>>,
     /// Signals that there is evidence to save.
     pub save_evidence: Notify,
     /// Endpoints whose limit is to be sent to the other nodes.
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -120,14 +120,19 @@
     Digest(Box<Digest>),
     /// Messages about permits.
     Permits(Box<[Message]>),
-    /// Evidence against what endpoints crashed under.
-    Crashes(Box<[Evidence]>),
+    /// Evidence against shared traits of requests under which endpoints crashed.
+    Crashes(Box<[Evidence<Fingerprint>]>),
     /// Limits that endpoints named, or that have ended.
     Limits(Box<[Limit]>),
     /// Stages of rollouts.
     Rollouts(Box<[Announcement]>),
     /// Counts of a node for the coordinator of a rollout.
     Counts(Box<Counts>),
+    /// Evidence against other traits of such requests. It follows an empty [`Self::Crashes`], after
+    /// which older builds read nothing: to them, each suspected trait that a request lacks explains
+    /// the crashes under it.
+    #[serde(skip)]
+    RequestCrashes(Box<[Evidence]>),
 }
 
 impl Datagram {
@@ -136,7 +141,13 @@
     /// # Errors
     /// The datagram cannot be encoded.
     pub fn encode_with_hmac(&self, secret: &[u8]) -> Result<Vec<u8>> {
-        let bytes = postcard::to_stdvec(self).context("encoding a datagram")?;
+        let encode = |datagram| postcard::to_stdvec(datagram).context("encoding a datagram");
+        let bytes = if let Self::RequestCrashes(evidence) = self {
+            let prefix = encode(&Self::Crashes(Box::default()))?;
+            postcard::to_extend(evidence, prefix).context("encoding a datagram")?
+        } else {
+            encode(self)?
+        };
         append_hmac(bytes, secret)
     }
 
@@ -145,7 +156,14 @@
     /// # Errors
     /// The HMAC or the encoding is invalid.
     pub fn verify_and_decode(datagram: &[u8], secret: &[u8]) -> Result<Self> {
-        postcard::from_bytes(verify_hmac(datagram, secret)?).context("decoding a datagram")
+        let bytes = verify_hmac(datagram, secret)?;
+        let (datagram, rest) = postcard::take_from_bytes(bytes).context("decoding a datagram")?;
+        match datagram {
+            Self::Crashes(_) if !rest.is_empty() => {
+                postcard::from_bytes(rest).map(Self::RequestCrashes).context("decoding evidence")
+            }
+            datagram => Ok(datagram),
+        }
     }
 }
 
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -1,7 +1,7 @@
 //! Translation of a deployment's headers.
 
 use crate::{request, response};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use std::time::Duration;
 use units::{EndpointId, OrganisationId};
 
@@ -30,6 +30,10 @@
     /// may set and adds `outbound`.
     fn rewrite_request(&self, headers: &mut HeaderMap, outbound: &Outbound<'_>);
 
+    /// Whether a header says nothing of the request itself: callers choose it anew for each attempt,
+    /// or endpoints do not receive it as the caller sent it.
+    fn is_transient(&self, name: &HeaderName) -> bool;
+
     /// Decodes an endpoint's headers.
     fn decode_response(&self, status: StatusCode, headers: &HeaderMap) -> response::Head;
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod headers;
 pub mod history;
 pub mod holder;
+pub mod identity;
 pub mod journal;
 pub mod learning;
 pub mod lifecycle;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -49,7 +49,13 @@
     let digest = match Datagram::verify_and_decode(datagram, &secret) {
         Ok(Datagram::Digest(digest)) => digest,
         Ok(Datagram::Permits(messages)) => return handle_permits(board, messages, from),
-        Ok(Datagram::Crashes(evidence)) => return quarantine::merge(board, &evidence, from),
+        Ok(Datagram::Crashes(evidence)) => {
+            let evidence = evidence.into_iter().map(Into::into);
+            return quarantine::merge(board, evidence, from);
+        }
+        Ok(Datagram::RequestCrashes(evidence)) => {
+            return quarantine::merge(board, evidence, from);
+        }
         Ok(Datagram::Limits(limits)) => return limits::merge(board, &limits, from),
         Ok(Datagram::Rollouts(rollouts)) => {
             return rollout::merge(board, &rollouts, &from.to_string());
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -10,6 +10,9 @@
 //! therefore saves the evidence as a row of the nodes' table, which each node
 //! reads before it is ready. The nodes that read the store for the others delete
 //! the rows of traits that are no longer suspected.
+//!
+//! Builds before [`Trait::Target`] know shared traits only. These have datagrams
+//! and rows of their own, in the form of those builds.
 
 use crate::{
     admission,
@@ -22,7 +25,7 @@
 use codes::{Code, Event};
 use sched::{
     fleet::Choice,
-    quarantine::{CrashId, Evidence, Verdict},
+    quarantine::{CrashId, Evidence, Trait, Verdict},
 };
 use slog::info;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -34,12 +37,14 @@
 /// Time for which a response must go on before its request counts as sound. An endpoint may end
 /// just after the first event.
 pub const SURVIVAL_TIME: Duration = Duration::from_millis(250);
-/// Maximum number of traits in a datagram; one takes up to 250 bytes.
+/// Maximum number of traits in a datagram; one takes up to 280 bytes.
 const MAX_TRAITS: usize = 24;
 /// Number of traits that are repeated, and saved.
-const MAX_REPEATED: usize = 8;
-/// Prefix of the keys of rows with evidence.
-const EVIDENCE_ROWS: &str = "evidence/";
+const MAX_REPEATED: usize = 16;
+/// Prefix of the keys of rows with evidence against shared traits.
+const SHARED_ROWS: &str = "evidence/";
+/// Prefix of the keys of rows with evidence against other traits; older builds ignore them.
+const REQUEST_ROWS: &str = "request-evidence/";
 /// Time between a crash and the writing of its row. A part that sound requests share is mostly
 /// cleared meanwhile.
 const SAVE_DELAY: Duration = Duration::from_millis(300);
@@ -75,32 +80,29 @@
 /// # Errors
 /// The refusal.
 pub fn check_attempt(board: &Blackboard, accepted: &admission::Request) -> Result<(), Refused> {
-    if let Some(fingerprint) = verdict(board, accepted)? {
+    if let Some(subject) = verdict(board, accepted)? {
         let now = board.now();
-        board.quarantine.borrow_mut().record_trial(fingerprint, now);
+        board.quarantine.borrow_mut().record_trial(subject, now);
         info!(board.log, "quarantine tried"; Event::Quarantine,
-            "request" => &*accepted.head.attempt, "fingerprint" => %fingerprint,
-            "crashes" => board.quarantine.borrow().crashes(fingerprint));
+            "request" => &*accepted.head.attempt, "fingerprint" => %subject,
+            "crashes" => board.quarantine.borrow().crashes(subject));
         board.metrics.count("quarantine", "tried");
-        queue_evidence(board, [fingerprint]);
+        queue_evidence(board, [subject]);
     }
     Ok(())
 }
 
 /// Trait that the request tries, if any.
-fn verdict(
-    board: &Blackboard,
-    accepted: &admission::Request,
-) -> Result<Option<Fingerprint>, Refused> {
+fn verdict(board: &Blackboard, accepted: &admission::Request) -> Result<Option<Trait>, Refused> {
     let now = board.now();
-    let rank = |fingerprint: Fingerprint| board.roster.borrow().rank(&fingerprint.to_string(), now);
+    let rank = |subject: Trait| board.roster.borrow().rank(&subject.to_string(), now);
     let quarantine = board.quarantine.borrow();
     match quarantine.verdict(&accepted.traits, rank, now) {
         Verdict::Clear => Ok(None),
-        Verdict::Trial(fingerprint) => Ok(Some(fingerprint)),
-        Verdict::Quarantined { fingerprint, wait } => {
-            let crashes = quarantine.crashes(fingerprint);
-            let cause = format!("{crashes} endpoints crashed under {fingerprint}");
+        Verdict::Trial(subject) => Ok(Some(subject)),
+        Verdict::Quarantined { subject, wait } => {
+            let crashes = quarantine.crashes(subject);
+            let cause = format!("{crashes} endpoints crashed under {subject}");
             Err(Refused::new(Code::Crashing, cause).with_retry_after(wait))
         }
     }
@@ -133,18 +135,18 @@
     }
 }
 
-fn join(traits: &[Fingerprint]) -> String {
-    let traits: Vec<String> = traits.iter().map(Fingerprint::to_string).collect();
+fn join(traits: &[Trait]) -> String {
+    let traits: Vec<String> = traits.iter().map(Trait::to_string).collect();
     traits.join(",")
 }
 
 /// Logs traits that are suspected now, and has what changed sent to all nodes.
-fn announce(board: &Blackboard, changed: Vec<Fingerprint>) {
+fn announce(board: &Blackboard, changed: Vec<Trait>) {
     if changed.is_empty() {
         return;
     }
-    for fingerprint in &changed {
-        log_suspicion(board, *fingerprint, "own");
+    for subject in &changed {
+        log_suspicion(board, *subject, "own");
     }
     board.unsaved_evidence.borrow_mut().extend(&changed);
     board.save_evidence.notify_one();
@@ -179,31 +181,37 @@
     let evidence = {
         let quarantine = board.quarantine.borrow();
         let mut traits = quarantine.prominent(MAX_REPEATED);
-        traits.retain(|fingerprint| {
-            unsaved.contains(fingerprint) && quarantine.is_suspected(*fingerprint)
-        });
+        traits.retain(|subject| unsaved.contains(subject) && quarantine.is_suspected(*subject));
         quarantine.evidence(&traits, board.now())
     };
     for evidence in evidence {
-        let fingerprint = evidence.fingerprint;
+        let subject = evidence.subject;
         if let Err(fault) = save_row(store, &evidence).await {
             info!(board.log, "saving evidence failed"; Event::StoreDown,
-                "fingerprint" => %fingerprint, "fault" => format!("{fault:#}"));
-            board.unsaved_evidence.borrow_mut().insert(fingerprint);
+                "fingerprint" => %subject, "fault" => format!("{fault:#}"));
+            board.unsaved_evidence.borrow_mut().insert(subject);
         }
     }
 }
 
 async fn save_row<S: Store>(store: &S, evidence: &Evidence) -> anyhow::Result<()> {
-    let key = format!("{EVIDENCE_ROWS}{}", evidence.fingerprint);
-    let value = postcard::to_stdvec(evidence)?;
+    let (prefix, value) = match evidence.to_shared() {
+        Some(shared) => (SHARED_ROWS, postcard::to_stdvec(&shared)?),
+        None => (REQUEST_ROWS, postcard::to_stdvec(evidence)?),
+    };
+    let key = format!("{prefix}{}", evidence.subject);
     Ok(store.write(&key, &value, false).await?)
 }
 
 /// Evidence in a row; none for other rows and for those that cannot be decoded.
 fn decode_row(row: &Row) -> Option<Evidence> {
-    row.key.strip_prefix(EVIDENCE_ROWS)?;
-    postcard::from_bytes(row.value.as_ref()?).ok()
+    let value = row.value.as_ref()?;
+    if row.key.starts_with(SHARED_ROWS) {
+        postcard::from_bytes::<Evidence<Fingerprint>>(value).ok().map(Into::into)
+    } else {
+        row.key.strip_prefix(REQUEST_ROWS)?;
+        postcard::from_bytes(value).ok()
+    }
 }
 
 /// Takes over saved evidence when the node starts. Crashes count as old as they were when they were
@@ -211,7 +219,7 @@
 pub fn load(board: &Blackboard, rows: &[Row]) {
     for evidence in rows.iter().filter_map(decode_row) {
         if board.quarantine.borrow_mut().merge(&evidence, board.now()) {
-            log_suspicion(board, evidence.fingerprint, "store");
+            log_suspicion(board, evidence.subject, "store");
         }
     }
 }
@@ -220,33 +228,33 @@
 pub fn stale_rows(board: &Blackboard, rows: &[Row]) -> Vec<(Box<str>, Version)> {
     let quarantine = board.quarantine.borrow();
     let is_stale = |row: &&Row| {
-        let suspected = decode_row(row).is_some_and(|e| quarantine.is_suspected(e.fingerprint));
-        row.key.starts_with(EVIDENCE_ROWS) && !suspected
+        let suspected = decode_row(row).is_some_and(|e| quarantine.is_suspected(e.subject));
+        [SHARED_ROWS, REQUEST_ROWS].iter().any(|rows| row.key.starts_with(rows)) && !suspected
     };
     rows.iter().filter(is_stale).map(|row| (row.key.clone(), row.version)).collect()
 }
 
 /// Has the evidence on these traits sent to all nodes.
-fn queue_evidence(board: &Blackboard, traits: impl IntoIterator<Item = Fingerprint>) {
+fn queue_evidence(board: &Blackboard, traits: impl IntoIterator<Item = Trait>) {
     board.unsent_evidence.borrow_mut().extend(traits);
     board.announce_now.notify_one();
 }
 
-fn log_suspicion(board: &Blackboard, fingerprint: Fingerprint, source: &str) {
+fn log_suspicion(board: &Blackboard, subject: Trait, source: &str) {
     let quarantine = board.quarantine.borrow();
-    if quarantine.is_suspected(fingerprint) {
-        info!(board.log, "quarantined"; Event::Quarantine, "fingerprint" => %fingerprint,
-            "crashes" => quarantine.crashes(fingerprint), "source" => source);
+    if quarantine.is_suspected(subject) {
+        info!(board.log, "quarantined"; Event::Quarantine, "fingerprint" => %subject,
+            "crashes" => quarantine.crashes(subject), "source" => source);
     }
 }
 
 /// Merges evidence of another node.
-pub fn merge(board: &Blackboard, evidence: &[Evidence], from: SocketAddr) {
+pub fn merge(board: &Blackboard, evidence: impl IntoIterator<Item = Evidence>, from: SocketAddr) {
     let now = board.now();
     for evidence in evidence {
-        let changed = board.quarantine.borrow_mut().merge(evidence, now);
+        let changed = board.quarantine.borrow_mut().merge(&evidence, now);
         if changed {
-            log_suspicion(board, evidence.fingerprint, &from.to_string());
+            log_suspicion(board, evidence.subject, &from.to_string());
         }
     }
 }
@@ -254,7 +262,7 @@
 /// Announcements of what this node has learned itself.
 pub fn take_unsent(board: &Blackboard) -> Vec<Datagram> {
     let unsent = std::mem::take(&mut *board.unsent_evidence.borrow_mut());
-    let unsent: Vec<Fingerprint> = unsent.into_iter().collect();
+    let unsent: Vec<Trait> = unsent.into_iter().collect();
     datagrams(board, &unsent)
 }
 
@@ -264,8 +272,12 @@
     datagrams(board, &prominent)
 }
 
-fn datagrams(board: &Blackboard, traits: &[Fingerprint]) -> Vec<Datagram> {
-    let quarantine = board.quarantine.borrow();
-    let evidence = |traits| Datagram::Crashes(quarantine.evidence(traits, board.now()).into());
-    traits.chunks(MAX_TRAITS).map(evidence).collect()
+fn datagrams(board: &Blackboard, traits: &[Trait]) -> Vec<Datagram> {
+    let evidence = board.quarantine.borrow().evidence(traits, board.now());
+    let (shared, other): (Vec<Evidence>, Vec<Evidence>) =
+        evidence.into_iter().partition(|e| matches!(e.subject, Trait::Shared(_)));
+    let shared: Vec<_> = shared.iter().filter_map(Evidence::to_shared).collect();
+    let shared = shared.chunks(MAX_TRAITS).map(|chunk| Datagram::Crashes(chunk.into()));
+    let other = other.chunks(MAX_TRAITS).map(|chunk| Datagram::RequestCrashes(chunk.into()));
+    shared.chain(other).collect()
 }
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -160,19 +160,29 @@
     response
 }
 
-/// Headers without those that apply to a single connection.
-#[must_use]
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
+/// Names of the headers that apply to a single connection, other than [`HOP_BY_HOP`].
+fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|names| names.split(','))
         .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let kept =
-        headers.iter().filter(|(name, _)| !HOP_BY_HOP.contains(name) && !named.contains(name));
-    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+        .collect()
+}
+
+/// Names of the headers that do not apply to a single connection.
+pub fn end_to_end_names(headers: &HeaderMap) -> impl Iterator<Item = &HeaderName> {
+    let named = connection_options(headers);
+    headers.keys().filter(move |name| !HOP_BY_HOP.contains(name) && !named.contains(name))
+}
+
+/// Headers without those that apply to a single connection.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let names = end_to_end_names(headers);
+    let values = names.flat_map(|name| headers.get_all(name).iter().map(move |v| (name, v)));
+    values.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
 /// Head of the response to a caller, with the endpoint's status and headers.
--- a/crates/relay/tests/nodes/quarantine.rs
+++ b/crates/relay/tests/nodes/quarantine.rs
@@ -4,12 +4,18 @@
     CONTROL_BYTES_PER_S, announced_bytes_per_second, digest, introduce, node, run,
 };
 use relay::{Blackboard, announce, digest::Datagram, peers, quarantine, watch::Row};
-use sched::quarantine::{Crash, CrashId, Evidence, Verdict};
+use sched::quarantine::{Crash, CrashId, Evidence, Trait, Verdict};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{net::UdpSocket, task::spawn_local};
 use units::{EndpointId, Fingerprint, Version};
 
-const DEADLY: Fingerprint = Fingerprint(7);
+const DEADLY: Trait = Trait::Shared(Fingerprint(7));
+/// Traits of a whole request.
+const REQUEST: [Trait; 3] = [
+    DEADLY,
+    Trait::Target(Fingerprint(8)),
+    Trait::Variant { target: Fingerprint(8), fields: Fingerprint(9) },
+];
 
 /// Node that receives datagrams and sends evidence.
 async fn start(name: &str, number: u8) -> (Rc<Blackboard>, Rc<UdpSocket>, SocketAddr) {
@@ -27,7 +33,7 @@
         Crash { id: CrashId::new(&endpoint, None), age_ms: number * 1_000, cleared: false }
     };
     let evidence =
-        Evidence { fingerprint: DEADLY, crashes: (0..3).map(crash).collect(), tried_ms: None };
+        Evidence { subject: DEADLY, crashes: (0..3).map(crash).collect(), tried_ms: None };
     board.quarantine.borrow_mut().merge(&evidence, board.now());
 }
 
@@ -84,7 +90,11 @@
                 let endpoint = EndpointId::new(&format!("e-{number}-{crash}")).unwrap();
                 let id = CrashId::new(&endpoint, None);
                 let now = sender.now() + Duration::from_millis(crash * 200);
-                sender.quarantine.borrow_mut().record_crash(&[Fingerprint(number)], id, now);
+                sender.quarantine.borrow_mut().record_crash(
+                    &[Trait::Shared(Fingerprint(number))],
+                    id,
+                    now,
+                );
             }
         }
         let bytes = announced_bytes_per_second(&sender, 26).await;
@@ -93,6 +103,52 @@
     });
 }
 
+/// The traits that take most bytes.
+#[test]
+fn repeated_evidence_against_requests_does_not_exceed_the_bytes_for_control() {
+    run(async {
+        let sender = node("n-0", (super::support::address(29), 7_600).into());
+        for number in 0..24 {
+            let subject = Trait::Variant {
+                target: Fingerprint(u64::MAX - number),
+                fields: Fingerprint(u64::MAX),
+            };
+            for crash in 0..16 {
+                let endpoint = EndpointId::new(&format!("e-{number}-{crash}")).unwrap();
+                let id = CrashId::new(&endpoint, None);
+                let now = sender.now() + Duration::from_millis(crash * 200);
+                sender.quarantine.borrow_mut().record_crash(&[subject], id, now);
+            }
+        }
+        let bytes = announced_bytes_per_second(&sender, 30).await;
+        assert!(bytes > 0, "nothing is repeated");
+        assert!(bytes <= CONTROL_BYTES_PER_S, "{bytes} bytes a second");
+    });
+}
+
+/// Older builds would take each suspected trait that a request lacks for an explanation of the crashes
+/// under it, and would send it again.
+#[test]
+fn older_builds_learn_of_shared_traits_only() {
+    run(async {
+        let (board, _, _) = start("n-1", 31).await;
+        let crash = CrashId::new(&EndpointId::new("e-1").unwrap(), None);
+        board.quarantine.borrow_mut().record_crash(&REQUEST, crash, board.now());
+        board.unsent_evidence.borrow_mut().extend(REQUEST);
+        let datagrams = quarantine::take_unsent(&board);
+        let [Datagram::Crashes(shared), Datagram::RequestCrashes(other)] = &datagrams[..] else {
+            panic!("{datagrams:?}");
+        };
+        assert!(shared.iter().map(|e| e.subject).eq([Fingerprint(7)]));
+        assert!(other.iter().map(|e| e.subject).eq([REQUEST[1], REQUEST[2]]));
+        let encoded = datagrams[1].encode_with_hmac(b"secret").unwrap();
+        assert_eq!(Datagram::verify_and_decode(&encoded, b"secret").unwrap(), datagrams[1]);
+        // Older builds read one datagram and ignore the bytes after it.
+        let older: Datagram = postcard::from_bytes(&encoded).unwrap();
+        assert_eq!(older, Datagram::Crashes(Box::default()));
+    });
+}
+
 /// A row must not outlive its suspicion, or it would be taken over again at each start.
 #[test]
 fn saved_evidence_is_stale_once_a_request_has_survived() {
@@ -100,7 +156,7 @@
         let (saver, _, _) = start("n-1", 27).await;
         crash_endpoints(&saver);
         let evidence = saver.quarantine.borrow().evidence(&[DEADLY], saver.now()).remove(0);
-        let value = postcard::to_stdvec(&evidence).unwrap();
+        let value = postcard::to_stdvec(&evidence.to_shared().unwrap()).unwrap();
         let row = |key: &str, value: &[u8]| Row {
             key: key.into(),
             value: Some(value.to_vec().into()),
@@ -123,3 +179,26 @@
         assert_eq!(stale(), ["evidence/7".into(), "evidence/8".into()]);
     });
 }
+
+/// Traits that older builds do not know are saved, too, in rows that older builds leave alone.
+#[test]
+fn saved_evidence_against_a_request_is_taken_over() {
+    run(async {
+        let (saver, _, _) = start("n-1", 32).await;
+        crash_endpoints(&saver);
+        let evidence = saver.quarantine.borrow().evidence(&[DEADLY], saver.now()).remove(0);
+        let evidence = Evidence { subject: REQUEST[1], ..evidence };
+        let row = Row {
+            key: "request-evidence/target-8".into(),
+            value: Some(postcard::to_stdvec(&evidence).unwrap().into()),
+            version: Version(3),
+        };
+        let (started, _, _) = start("n-2", 33).await;
+        quarantine::load(&started, std::slice::from_ref(&row));
+        let verdict = started.quarantine.borrow().verdict(&REQUEST, |_| 0, started.now());
+        assert!(matches!(verdict, Verdict::Quarantined { .. }), "{verdict:?}");
+        assert!(quarantine::stale_rows(&started, std::slice::from_ref(&row)).is_empty());
+        started.quarantine.borrow_mut().record_survival(&REQUEST);
+        assert_eq!(quarantine::stale_rows(&started, &[row]).len(), 1);
+    });
+}
--- a/crates/relay/tests/nodes/support.rs
+++ b/crates/relay/tests/nodes/support.rs
@@ -1,7 +1,7 @@
 //! Nodes without callers, and what they know of each other.
 
 use codes::{Overflow, root_logger};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use relay::{
     Blackboard, Codec, Settings, announce, digest::Digest, headers::Outbound, request, response,
     settings::Listen,
@@ -31,6 +31,10 @@
         Err("not used by these tests".into())
     }
 
+    fn is_transient(&self, _: &HeaderName) -> bool {
+        false
+    }
+
     fn decode_response(&self, _: StatusCode, _: &HeaderMap) -> response::Head {
         response::Head::default()
     }
--- a/crates/sched/src/quarantine.rs
+++ b/crates/sched/src/quarantine.rs
@@ -5,8 +5,8 @@
 //! node, and each crash takes a dozen sound requests with it, most of which share
 //! their organisation and other parts with them.
 //!
-//! A request is described by *traits*: the fingerprint of the whole request and
-//! those of the parts of its prompt that others may share. A crash is evidence
+//! A request is described by *traits*: nested ones of the request itself, and the
+//! parts of its prompt that others may share. A crash is evidence
 //! against each trait of the requests that had just begun, or waited to begin, at
 //! the endpoint. A request that survives clears its traits of the crashes before.
 //! A trait is *suspected* after three crashes of which it is not cleared.
@@ -14,6 +14,12 @@
 //! does not have, occur in all of the same crashes and so explain them: sound
 //! requests that crashed beside a deadly part are not refused.
 //!
+//! A sound request may equal a deadly one but for its query or one of its header
+//! fields. It clears the wider traits that both have, and the narrower ones keep
+//! their evidence. The wider ones remain, since a deadly request may come again
+//! with other header fields: traits of one target with other fields are no
+//! explanation for the crashes of that target.
+//!
 //! Evidence is a set of crashes, so peers merge it in any order and as often as
 //! they like, and two nodes that saw the same crash count it once.
 //!
@@ -22,7 +28,7 @@
 //! quarantine.
 
 use serde::{Deserialize, Serialize};
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, fmt, time::Duration};
 use units::{EndpointId, Fingerprint, Time, score};
 
 /// Number of crashes after which a trait is suspected.
@@ -41,10 +47,57 @@
 /// Time between two trials.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(4);
 /// Maximum number of traits that are kept.
-const MAX_RECORDS: usize = 1_024;
+const MAX_RECORDS: usize = 3_072;
+/// Number of traits that make way for new ones at once.
+const EVICTED: usize = 64;
 /// Maximum number of crashes that are kept for a trait.
 const MAX_CRASHES: usize = 16;
 
+units::common! {
+    /// What a request is recognised by.
+    #[derive(Copy)]
+    pub enum Trait {
+        /// Part of the prompt; or organisation, path and body, the only trait of a whole request that
+        /// older builds know.
+        Shared(Fingerprint),
+        /// Organisation, host, method, path, query and body.
+        Target(Fingerprint),
+        /// Target and header fields.
+        Variant {
+            /// Target.
+            target: Fingerprint,
+            /// Header fields.
+            fields: Fingerprint,
+        },
+    }
+}
+
+impl Trait {
+    /// Whether `other` may explain crashes of `self`, a trait of a request whose target is suspected or
+    /// not.
+    fn may_be_explained_by(self, other: Self, is_target_suspected: bool) -> bool {
+        match (self, other) {
+            // The targets of two requests at the same crashes explain each other, so that what both
+            // requests share is left to refuse them.
+            (Self::Shared(_), Self::Target(_) | Self::Variant { .. }) => !is_target_suspected,
+            // A deadly request that comes again with other header fields has the target of the
+            // earlier one, but not its variant.
+            (Self::Target(own), Self::Variant { target, .. }) => own != target,
+            _ => true,
+        }
+    }
+}
+
+impl fmt::Display for Trait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Shared(fingerprint) => write!(f, "{fingerprint}"),
+            Self::Target(target) => write!(f, "target-{target}"),
+            Self::Variant { target, fields } => write!(f, "variant-{target}-{fields}"),
+        }
+    }
+}
+
 /// Lifetime of an endpoint that ended in a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -70,28 +123,45 @@
     pub cleared: bool,
 }
 
-/// Crashes of requests with one trait, as sent to peers.
+/// Crashes of requests with one trait, as sent to peers. Older builds know that of shared traits
+/// only, by their fingerprints.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Evidence {
+pub struct Evidence<T = Trait> {
     /// Trait.
-    pub fingerprint: Fingerprint,
+    pub subject: T,
     /// Crashes.
     pub crashes: Box<[Crash]>,
     /// Time since a node last tried the trait, in ms.
     pub tried_ms: Option<u32>,
 }
 
+impl Evidence {
+    /// The form that older builds know; none for traits that they don't.
+    #[must_use]
+    pub fn to_shared(&self) -> Option<Evidence<Fingerprint>> {
+        let Trait::Shared(subject) = self.subject else { return None };
+        Some(Evidence { subject, crashes: self.crashes.clone(), tried_ms: self.tried_ms })
+    }
+}
+
+impl From<Evidence<Fingerprint>> for Evidence {
+    fn from(evidence: Evidence<Fingerprint>) -> Self {
+        let Evidence { subject, crashes, tried_ms } = evidence;
+        Self { subject: Trait::Shared(subject), crashes, tried_ms }
+    }
+}
+
 /// Status of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     /// No trait is suspected, or the crashes have another explanation.
     Clear,
     /// A trait is suspected, and this request may try whether it still crashes endpoints.
-    Trial(Fingerprint),
+    Trial(Trait),
     /// A trait is suspected.
     Quarantined {
         /// Trait.
-        fingerprint: Fingerprint,
+        subject: Trait,
         /// Time until the next trial.
         wait: Duration,
     },
@@ -116,7 +186,7 @@
 /// Evidence by trait.
 #[derive(Debug, Default)]
 pub struct Tracker {
-    records: HashMap<Fingerprint, Record>,
+    records: HashMap<Trait, Record>,
 }
 
 fn micros(duration: Duration) -> i64 {
@@ -191,23 +261,18 @@
 
     /// Records that an endpoint crashed under requests with these traits; the traits for which that is
     /// new.
-    pub fn record_crash(
-        &mut self,
-        traits: &[Fingerprint],
-        crash: CrashId,
-        now: Time,
-    ) -> Vec<Fingerprint> {
+    pub fn record_crash(&mut self, traits: &[Trait], crash: CrashId, now: Time) -> Vec<Trait> {
         let mut changed = traits.to_vec();
-        changed.retain(|fingerprint| self.add(*fingerprint, crash, moment(now), false));
+        changed.retain(|subject| self.add(*subject, crash, moment(now), false));
         changed
     }
 
     /// Records that a request with these traits did not crash its endpoint; the traits that are
     /// cleared by it.
-    pub fn record_survival(&mut self, traits: &[Fingerprint]) -> Vec<Fingerprint> {
+    pub fn record_survival(&mut self, traits: &[Trait]) -> Vec<Trait> {
         let mut cleared = traits.to_vec();
-        cleared.retain(|fingerprint| {
-            let Some(record) = self.records.get_mut(fingerprint) else { return false };
+        cleared.retain(|subject| {
+            let Some(record) = self.records.get_mut(subject) else { return false };
             let suspected = record.uncleared().next().is_some();
             record.entries.iter_mut().for_each(|entry| entry.cleared = true);
             suspected
@@ -218,7 +283,7 @@
     /// Merges a peer's evidence; whether anything is new.
     pub fn merge(&mut self, evidence: &Evidence, now: Time) -> bool {
         let mut changed = false;
-        if let Some(record) = self.records.get_mut(&evidence.fingerprint)
+        if let Some(record) = self.records.get_mut(&evidence.subject)
             && let Some(ms) = evidence.tried_ms
         {
             let tried = moment(now) - micros(Duration::from_millis(ms.into()));
@@ -228,58 +293,62 @@
             let age = Duration::from_millis(crash.age_ms.into());
             if age < CRASH_TTL {
                 let at = moment(now) - micros(age);
-                changed |= self.add(evidence.fingerprint, crash.id, at, crash.cleared);
+                changed |= self.add(evidence.subject, crash.id, at, crash.cleared);
             }
         }
         changed
     }
 
-    fn add(&mut self, fingerprint: Fingerprint, id: CrashId, at: Moment, cleared: bool) -> bool {
-        if !self.records.contains_key(&fingerprint) && self.records.len() >= MAX_RECORDS {
+    fn add(&mut self, subject: Trait, id: CrashId, at: Moment, cleared: bool) -> bool {
+        if !self.records.contains_key(&subject) && self.records.len() >= MAX_RECORDS {
             self.evict();
         }
-        self.records.entry(fingerprint).or_default().merge(id, at, cleared)
+        self.records.entry(subject).or_default().merge(id, at, cleared)
     }
 
-    /// Status of a request with these traits. `rank` is the number of nodes that try a trait before
-    /// this one.
+    /// Status of a request with these traits: those of the request itself, the wider ones first, and
+    /// then the parts of its prompt. `rank` is the number of nodes that try a trait before this one.
     #[must_use]
-    pub fn verdict(
-        &self,
-        traits: &[Fingerprint],
-        rank: impl Fn(Fingerprint) -> u32,
-        now: Time,
-    ) -> Verdict {
+    pub fn verdict(&self, traits: &[Trait], rank: impl Fn(Trait) -> u32, now: Time) -> Verdict {
         let mut verdict = Verdict::Clear;
-        for fingerprint in traits {
-            let Some(record) = self.records.get(fingerprint) else { continue };
+        let mut widest = None;
+        for subject in traits {
+            let Some(record) = self.records.get(subject) else { continue };
             let crashes = record.crashes();
-            if crashes < THRESHOLD || self.is_explained(record, traits) {
+            if crashes < THRESHOLD || self.is_explained(*subject, record, traits) {
                 continue;
             }
-            let turn = quarantine(crashes) + TRIAL_STEP * rank(*fingerprint);
+            // The traits of one request have a common rank, so that they do not wait for different
+            // nodes.
+            let widest = *widest.get_or_insert(*subject);
+            let tried = if matches!(subject, Trait::Shared(_)) { *subject } else { widest };
+            let turn = quarantine(crashes) + TRIAL_STEP * rank(tried);
             let after_crash = record.last().map_or(0, |last| last.saturating_add(micros(turn)));
             let after_trial = record.tried.map_or(0, |tried| tried + micros(TRIAL_INTERVAL));
             let left = after_crash.max(after_trial) - moment(now);
             if left > 0 {
                 let wait = Duration::from_micros(left.unsigned_abs());
-                return Verdict::Quarantined { fingerprint: *fingerprint, wait };
+                return Verdict::Quarantined { subject: *subject, wait };
             }
-            verdict = Verdict::Trial(*fingerprint);
+            verdict = Verdict::Trial(tried);
         }
         verdict
     }
 
     /// Records that a request is sent as a trial.
-    pub fn record_trial(&mut self, fingerprint: Fingerprint, now: Time) {
-        if let Some(record) = self.records.get_mut(&fingerprint) {
+    pub fn record_trial(&mut self, subject: Trait, now: Time) {
+        if let Some(record) = self.records.get_mut(&subject) {
             record.tried = Some(moment(now));
         }
     }
 
     /// Whether suspected traits that the request does not have occur in all of the same crashes.
-    fn is_explained(&self, record: &Record, traits: &[Fingerprint]) -> bool {
-        let others = self.records.iter().filter(|(other, _)| !traits.contains(other));
+    fn is_explained(&self, subject: Trait, record: &Record, traits: &[Trait]) -> bool {
+        let mut targets = traits.iter().filter(|own| matches!(own, Trait::Target(_)));
+        let is_target_suspected = targets.any(|target| self.is_suspected(*target));
+        let others = self.records.iter().filter(|(other, _)| {
+            !traits.contains(other) && subject.may_be_explained_by(**other, is_target_suspected)
+        });
         let suspected = others.filter(|(_, other)| other.crashes() >= THRESHOLD);
         let suspected: Vec<&Record> = suspected.map(|(_, other)| other).collect();
         record.uncleared().all(|entry| suspected.iter().any(|other| other.has(entry.id)))
@@ -287,14 +356,26 @@
 
     /// Number of crashes of which a trait is not cleared; simultaneous ones count once.
     #[must_use]
-    pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
-        self.records.get(&fingerprint).map_or(0, Record::crashes)
+    pub fn crashes(&self, subject: Trait) -> u32 {
+        self.records.get(&subject).map_or(0, Record::crashes)
     }
 
     /// Whether a trait is suspected.
     #[must_use]
-    pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
-        self.crashes(fingerprint) >= THRESHOLD
+    pub fn is_suspected(&self, subject: Trait) -> bool {
+        self.crashes(subject) >= THRESHOLD
+    }
+
+    /// Number of traits that are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no trait is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
     }
 
     /// Number of suspected traits.
@@ -305,9 +386,9 @@
 
     /// Evidence on these traits, for peers.
     #[must_use]
-    pub fn evidence(&self, traits: &[Fingerprint], now: Time) -> Vec<Evidence> {
-        let evidence = |fingerprint: &Fingerprint| {
-            let record = self.records.get(fingerprint)?;
+    pub fn evidence(&self, traits: &[Trait], now: Time) -> Vec<Evidence> {
+        let evidence = |subject: &Trait| {
+            let record = self.records.get(subject)?;
             let crash = |entry: &Entry| Crash {
                 id: entry.id,
                 age_ms: age_ms(entry.at, now),
@@ -315,7 +396,7 @@
             };
             let crashes = record.entries.iter().map(crash).collect();
             let tried_ms = record.tried.map(|tried| age_ms(tried, now));
-            Some(Evidence { fingerprint: *fingerprint, crashes, tried_ms })
+            Some(Evidence { subject: *subject, crashes, tried_ms })
         };
         traits.iter().filter_map(evidence).collect()
     }
@@ -323,11 +404,11 @@
     /// The `count` traits with the most crashes, but none with a single one: what a node that has
     /// just started needs.
     #[must_use]
-    pub fn prominent(&self, count: usize) -> Vec<Fingerprint> {
-        let records = self.records.iter().map(|(f, record)| (record.crashes(), *f));
-        let mut prominent: Vec<(u32, Fingerprint)> = records.filter(|(n, _)| *n > 1).collect();
+    pub fn prominent(&self, count: usize) -> Vec<Trait> {
+        let records = self.records.iter().map(|(subject, record)| (record.crashes(), *subject));
+        let mut prominent: Vec<(u32, Trait)> = records.filter(|(n, _)| *n > 1).collect();
         prominent.sort_unstable();
-        prominent.into_iter().rev().take(count).map(|(_, fingerprint)| fingerprint).collect()
+        prominent.into_iter().rev().take(count).map(|(_, subject)| subject).collect()
     }
 
     /// Forgets old crashes.
@@ -339,11 +420,16 @@
         });
     }
 
+    /// Forgets the traits with the fewest crashes.
     fn evict(&mut self) {
         let rank = |record: &Record| (record.crashes(), record.entries.last().map(|e| e.at));
-        let least = self.records.iter().min_by_key(|(f, record)| (rank(record), **f));
-        if let Some(fingerprint) = least.map(|(f, _)| *f) {
-            self.records.remove(&fingerprint);
+        let mut ranked: Vec<_> = self.records.iter().map(|(s, r)| (rank(r), *s)).collect();
+        let evicted = EVICTED.min(ranked.len());
+        if evicted < ranked.len() {
+            ranked.select_nth_unstable(evicted);
+        }
+        for (_, subject) in &ranked[..evicted] {
+            self.records.remove(subject);
         }
     }
 }
