Gateway: calls are told apart by method and media type, too

What callers saw: a call with an idempotency key that had been used with the same path and body in another format got the stored response of the other call instead of 3003. A call that crashes endpoints brought down all of its service beside sound ones with the same path and body.

Cause: `engine::chat::fingerprint` covers organisation, service, path with query, and body; endpoints also receive method and media type. It decides about strikes, unproven repeats and claims.

Ruled out: strikes that are not recognised or not spread; `two_endpoints_at_most`, without similar requests, passed on the code before.

Change: `call_fingerprint` adds both; chat requests have the same of both and keep their hash. Claims hold the hash of the whole call beside that of its content; rows of older builds are compared by content. Strikes are told on the content, too, so that older builds count them; a third fingerprint counts those, and only strikes beyond them, of older builds, count against other calls with the content.

Gateways of both builds side by side were not started.

--- a/crates/engine/src/chat.rs
+++ b/crates/engine/src/chat.rs
@@ -100,7 +100,7 @@
     prefixes
 }
 
-/// Hash of a request; equal for repetitions of the same request.
+/// Hash of a request's content; equal for repetitions of the same request. All builds must agree on it.
 #[must_use]
 pub fn fingerprint(organisation: &str, service: &str, path: &str, body: &[u8]) -> Fingerprint {
     let mut hasher = Xxh3::new();
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -13,7 +13,8 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
-use units::{RequestId, ServiceId};
+use units::{Fingerprint, RequestId, ServiceId};
+use xxhash_rust::xxh3::Xxh3;
 
 /// Time after which an idle connection is closed.
 const KEEP_ALIVE: Seconds = Seconds(4);
@@ -35,6 +36,18 @@
     Lost(Box<str>),
 }
 
+/// Hash of a call to a plain service, from that of its content and the rest of what the endpoint receives
+/// again when the call is repeated. All builds must agree on it.
+#[must_use]
+pub fn call_fingerprint(content: Fingerprint, method: &Method, media_type: &str) -> Fingerprint {
+    let mut hasher = Xxh3::new();
+    hasher.update(&content.0.to_le_bytes());
+    hasher.update(method.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(media_type.as_bytes());
+    Fingerprint(hasher.digest())
+}
+
 /// Load report of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
--- a/crates/fake-engine/src/plain.rs
+++ b/crates/fake-engine/src/plain.rs
@@ -14,7 +14,7 @@
 /// rounds of the service time.
 pub async fn call(endpoint: Shared, http: HttpRequest, body: Bytes) -> HttpResponse {
     let text = String::from_utf8_lossy(&body).into_owned();
-    if crashes_engine(&text) {
+    if crashes_engine(&text) || crashes_engine(&header(&http, "content-type")) {
         endpoint.crash.notify_one();
         tokio::time::sleep(Duration::from_secs(5)).await;
         return HttpResponse::InternalServerError().finish();
--- a/crates/gateway/src/controller/facts.rs
+++ b/crates/gateway/src/controller/facts.rs
@@ -6,7 +6,7 @@
 use crate::blackboard::{Blackboard, Mark, unix_time_ms};
 use codes::Event;
 use member::{Fact, Source};
-use sched::strike::Verdict;
+use sched::strike::{Identity, Verdict};
 use slog::{info, warn};
 use std::time::Duration;
 use units::{EndpointId, Fingerprint, InstanceId};
@@ -92,15 +92,21 @@
 }
 
 /// Adds a strike against a request and sends it to the fingers.
-pub fn strike(board: &Blackboard, fingerprint: Fingerprint) {
-    let strikes = board.strikes.lock().strike(fingerprint, board.now());
-    log_strike(board, fingerprint, strikes);
-    forward(board, None, vec![Fact::Strike { fingerprint, strikes, age_ms: 0 }]);
+pub fn strike(board: &Blackboard, identity: Identity) {
+    let strikes = board.strikes.lock().strike_all(identity, board.now());
+    if let Some((fingerprint, strikes)) = strikes.first() {
+        log_strike(board, *fingerprint, *strikes);
+    }
+    let facts = strikes.into_iter();
+    let facts =
+        facts.map(|(fingerprint, strikes)| Fact::Strike { fingerprint, strikes, age_ms: 0 });
+    forward(board, None, facts.collect());
 }
 
 /// Clears the strikes of a request that completed.
-pub fn clear(board: &Blackboard, fingerprint: Fingerprint) {
-    announce(board, Fact::Cleared { fingerprint });
+pub fn clear(board: &Blackboard, identity: Identity) {
+    announce(board, Fact::Cleared { fingerprint: identity.request });
+    announce(board, Fact::Cleared { fingerprint: identity.content });
 }
 
 /// All known facts, for a peer that joins or was paused.
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -9,15 +9,13 @@
     util::{Bytes, BytesMut},
     web::{HttpRequest, types::Payload},
 };
-use sched::strike::Verdict;
+use sched::strike::{Identity, Verdict};
 use std::{
     str::FromStr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
-use units::{
-    Fingerprint, IdempotencyKey, OrganisationId, Rank, RequestId, ServiceId, TierId, Time,
-};
+use units::{IdempotencyKey, OrganisationId, Rank, RequestId, ServiceId, TierId, Time};
 
 /// Header that names the caller's organisation.
 const ORGANISATION: &str = "bamboo-organisation";
@@ -76,8 +74,8 @@
     pub resumable: bool,
     /// Rank of the tier.
     pub rank: Rank,
-    /// Hash of the request.
-    pub fingerprint: Fingerprint,
+    /// What the request is recognised by.
+    pub identity: Identity,
     /// Whether an endpoint went down earlier while it processed the same request.
     pub suspect: bool,
 }
@@ -174,10 +172,10 @@
 pub fn check_quarantine(
     board: &Blackboard,
     request: RequestId,
-    fingerprint: Fingerprint,
+    identity: Identity,
 ) -> Result<bool, Refused> {
     let now = board.now();
-    match board.strikes.lock().verdict(fingerprint, now) {
+    match board.strikes.lock().verdict_on(identity, now) {
         Verdict::Clear => Ok(false),
         Verdict::Suspect => Ok(true),
         Verdict::Quarantined { until } => {
--- a/crates/gateway/src/http/chat.rs
+++ b/crates/gateway/src/http/chat.rs
@@ -21,7 +21,7 @@
     util::Bytes,
     web::{HttpRequest, HttpResponse, types::Payload},
 };
-use sched::{Job, job::Prefix};
+use sched::{Job, job::Prefix, strike::Identity};
 use std::sync::{Arc, atomic::Ordering};
 use units::RequestId;
 
@@ -88,8 +88,10 @@
     })?;
     let rank = admission::tier_rank(file, &head, file.fallback_tier())?;
     let service = file.service.clone();
-    let fingerprint = chat::fingerprint(head.organisation.as_str(), service.as_str(), PATH, body);
-    let suspect = admission::check_quarantine(board, head.request, fingerprint)?;
+    // Method and media type are the same for all chat requests.
+    let content = chat::fingerprint(head.organisation.as_str(), service.as_str(), PATH, body);
+    let identity = Identity { request: content, content };
+    let suspect = admission::check_quarantine(board, head.request, identity)?;
     board.counters.accepted.fetch_add(1, Ordering::Relaxed);
     let prefixes = request.prefixes.iter();
     let job = Job {
@@ -101,11 +103,11 @@
         output: board.estimator.estimate(&service, rank, request.max_output),
         deadline: head.deadline,
         prefixes: prefixes.map(|(hash, tokens)| Prefix { hash: *hash, tokens: *tokens }).collect(),
-        fingerprint,
+        fingerprint: identity.request,
         suspect,
     };
     let resumable = file.resumable;
-    Ok((admission::Request { head, service, resumable, rank, fingerprint, suspect }, job))
+    Ok((admission::Request { head, service, resumable, rank, identity, suspect }, job))
 }
 
 /// Streams the response; a failure before its first event is returned as a refusal.
--- a/crates/gateway/src/http/exchange.rs
+++ b/crates/gateway/src/http/exchange.rs
@@ -13,6 +13,7 @@
 use sched::{
     Job, Outcome,
     lifecycle::{Dispatched, Ticket, Unsent, Waiting},
+    strike::Identity,
 };
 use slog::info;
 use std::{
@@ -51,7 +52,9 @@
     /// Creates the claim of one attempt, with a random token.
     pub fn new(key: Key, accepted: &admission::Request) -> Self {
         let token = AttemptToken::new(rand::rng().random());
-        Self { key, claim: Claim { token, fingerprint: accepted.fingerprint, response: None } }
+        let Identity { request, content } = accepted.identity;
+        let claim = Claim { token, fingerprint: content, request: Some(request), response: None };
+        Self { key, claim }
     }
 }
 
@@ -210,7 +213,7 @@
 
 /// Refusal of an attempt whose key is claimed by another attempt.
 pub fn refuse_claimed(request: RequestId, claim: &KeyedClaim, other: &Claim) -> Refused {
-    if other.fingerprint != claim.claim.fingerprint {
+    if !other.is_repeat_of(&claim.claim) {
         let detail = "the key was used with another request; this one was not run";
         return Refused::new(request, Code::KeyReused, detail);
     }
@@ -349,7 +352,7 @@
             self.board.estimator.observe(&self.accepted.service, self.accepted.rank, output);
         }
         if self.accepted.suspect {
-            facts::clear(&self.board, self.accepted.fingerprint);
+            facts::clear(&self.board, self.accepted.identity);
         }
         self.log_end("whole");
         self.board.counters.whole.fetch_add(1, Ordering::Relaxed);
@@ -386,7 +389,7 @@
         self.board.counters.cut.fetch_add(1, Ordering::Relaxed);
         // The response waits until the strike has had time to reach every gateway.
         if self.is_endpoint_down().await {
-            facts::strike(&self.board, self.accepted.fingerprint);
+            facts::strike(&self.board, self.accepted.identity);
             tokio::time::sleep(STRIKE_PROPAGATION_TIME).await;
         }
         self.fail(
--- a/crates/gateway/src/http/plain.rs
+++ b/crates/gateway/src/http/plain.rs
@@ -9,7 +9,10 @@
 use crate::{blackboard::Blackboard, controller::claims::Call as ClaimCall};
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use codes::Code;
-use engine::{chat::fingerprint, client::Call};
+use engine::{
+    chat::fingerprint,
+    client::{Call, call_fingerprint},
+};
 use guild::service::{File, Kind, Operation};
 use ntex::{
     client::ClientResponse,
@@ -17,7 +20,7 @@
     util::Bytes,
     web::{HttpRequest, HttpResponse, types::Payload},
 };
-use sched::Job;
+use sched::{Job, strike::Identity};
 use std::sync::{Arc, atomic::Ordering};
 use store::claim::{Key, Response};
 use tokio::sync::oneshot;
@@ -65,7 +68,7 @@
     };
     let _progress = Progress::new(board);
     let body = admission::read_body(board, head.request, payload).await?;
-    let (accepted, job) = accept(board, head, &target, &body)?;
+    let (accepted, job) = accept(board, head, http, &target, &body)?;
     let id = accepted.head.request;
     let claim = key.map(|key| KeyedClaim::new(key, &accepted));
     if let Some(claim) = &claim
@@ -123,6 +126,7 @@
 fn accept(
     board: &Blackboard,
     head: Head,
+    http: &HttpRequest,
     target: &Target,
     body: &Bytes,
 ) -> Result<(admission::Request, Job), Refused> {
@@ -130,8 +134,10 @@
     let fallback = target.operation.tier.as_ref().unwrap_or_else(|| file.fallback_tier());
     let rank = admission::tier_rank(file, &head, fallback)?;
     let organisation = head.organisation.as_str();
-    let fingerprint = fingerprint(organisation, file.service.as_str(), &target.path, body);
-    let suspect = admission::check_quarantine(board, head.request, fingerprint)?;
+    let content = fingerprint(organisation, file.service.as_str(), &target.path, body);
+    let request = call_fingerprint(content, http.method(), media_type(http));
+    let identity = Identity { request, content };
+    let suspect = admission::check_quarantine(board, head.request, identity)?;
     board.counters.accepted.fetch_add(1, Ordering::Relaxed);
     let job = Job {
         request: head.request,
@@ -142,11 +148,11 @@
         output: Tokens(1),
         deadline: head.deadline,
         prefixes: Box::new([]),
-        fingerprint,
+        fingerprint: identity.request,
         suspect,
     };
     let service = file.service.clone();
-    Ok((admission::Request { head, service, resumable: false, rank, fingerprint, suspect }, job))
+    Ok((admission::Request { head, service, resumable: false, rank, identity, suspect }, job))
 }
 
 /// Stored response to an earlier attempt with the same key, read before the request is queued.
@@ -168,9 +174,7 @@
     match found.await.map_err(|_| unavailable())? {
         None => Ok(None),
         Some(earlier) => match &earlier.response {
-            Some(stored) if earlier.fingerprint == claim.claim.fingerprint => {
-                Ok(Some(stored.clone()))
-            }
+            Some(stored) if earlier.is_repeat_of(&claim.claim) => Ok(Some(stored.clone())),
             _ => Err(exchange::refuse_claimed(request, claim, &earlier)),
         },
     }
--- a/crates/sched/src/strike.rs
+++ b/crates/sched/src/strike.rs
@@ -6,9 +6,13 @@
 //! quarantines it, unless another threshold is set. A suspect that completes is
 //! cleared. Strikes and quarantines expire, and each strike beyond the second
 //! doubles the length of the quarantine.
+//!
+//! Older builds recognise a request by its content alone, see [`Identity`]. They
+//! are told of strikes on it, and their strikes on it count; others have the
+//! content in common with sound requests, and do not.
 
 use std::{collections::HashMap, time::Duration};
-use units::{Fingerprint, Time};
+use units::{Fingerprint, Time, score};
 
 /// Default number of strikes from which a request is quarantined.
 const DEFAULT_THRESHOLD: u8 = 2;
@@ -21,8 +25,36 @@
 /// Number of fingerprints that are kept.
 const MAX_RECORDS: usize = 4096;
 
-/// Status of a request.
+/// Keeps the fingerprints that count reported strikes apart from those of requests.
+const REPORTED_KEY: &str = "reported strikes";
+
+/// What a request is recognised by. Gateways compare it, so all builds must agree on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Identity {
+    /// Hash of all that an endpoint can tell requests apart by.
+    pub request: Fingerprint,
+    /// Hash of organisation, service, path and body, which is all that older builds compare.
+    pub content: Fingerprint,
+}
+
+impl Identity {
+    /// Fingerprints that get each strike.
+    fn fingerprints(self) -> Vec<Fingerprint> {
+        if self.request == self.content {
+            vec![self.content]
+        } else {
+            vec![self.request, self.content, reported(self.content)]
+        }
+    }
+}
+
+/// Fingerprint that counts the strikes on a content which builds that know requests have reported.
+fn reported(content: Fingerprint) -> Fingerprint {
+    Fingerprint(score(&content.to_string(), REPORTED_KEY))
+}
+
+/// Status of a request, the milder ones first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// No strikes.
     Clear,
@@ -85,6 +117,22 @@
         }
     }
 
+    /// Status of a request by its own strikes, and by those that older builds gave its content.
+    #[must_use]
+    pub fn verdict_on(&self, identity: Identity, now: Time) -> Verdict {
+        let own = self.verdict(identity.request, now);
+        let strikes = |fingerprint| self.records.get(&fingerprint).map_or(0, |r| r.strikes);
+        if strikes(identity.content) <= strikes(reported(identity.content)) {
+            return own;
+        }
+        own.max(self.verdict(identity.content, now))
+    }
+
+    /// Adds a strike against a request; the fingerprints with their new numbers of strikes.
+    pub fn strike_all(&mut self, identity: Identity, now: Time) -> Vec<(Fingerprint, u8)> {
+        identity.fingerprints().into_iter().map(|f| (f, self.strike(f, now))).collect()
+    }
+
     /// Adds a strike and returns the new number of strikes.
     pub fn strike(&mut self, fingerprint: Fingerprint, now: Time) -> u8 {
         let before = match self.verdict(fingerprint, now) {
@@ -117,6 +165,7 @@
 
     /// Clears a suspect that has completed; true if it had strikes.
     pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        self.records.remove(&reported(fingerprint));
         self.records.remove(&fingerprint).is_some()
     }
 
--- a/crates/sched/tests/strike.rs
+++ b/crates/sched/tests/strike.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use proptest::prelude::*;
-use sched::strike::{Tracker, Verdict};
+use sched::strike::{Identity, Tracker, Verdict};
 use std::time::Duration;
 use units::{Fingerprint, Time};
 
@@ -44,6 +44,41 @@
     assert_eq!(tracker.verdict(POISON, NOW), Verdict::Clear);
 }
 
+/// Requests with the same content.
+const DEADLY: Identity = Identity { request: Fingerprint(11), content: Fingerprint(10) };
+const SOUND: Identity = Identity { request: Fingerprint(12), content: Fingerprint(10) };
+
+/// A sound request with the same content cleared a deadly one, or was held back beside it.
+#[test]
+fn requests_with_the_same_content_are_told_apart() {
+    let mut tracker = Tracker::new();
+    tracker.strike_all(DEADLY, NOW);
+    assert_eq!(tracker.verdict_on(DEADLY, NOW), Verdict::Suspect);
+    assert_eq!(tracker.verdict_on(SOUND, NOW), Verdict::Clear);
+    tracker.clear(SOUND.request);
+    tracker.clear(SOUND.content);
+    tracker.strike_all(DEADLY, NOW);
+    assert!(matches!(tracker.verdict_on(DEADLY, NOW), Verdict::Quarantined { .. }));
+    assert_eq!(tracker.verdict_on(SOUND, NOW), Verdict::Clear);
+}
+
+/// Older builds know the content alone, and are told of strikes on it.
+#[test]
+fn strikes_of_older_builds_count_and_reach_them() {
+    let mut tracker = Tracker::new();
+    tracker.strike(DEADLY.content, NOW);
+    assert_eq!(tracker.verdict_on(DEADLY, NOW), Verdict::Suspect);
+    let told = tracker.strike_all(DEADLY, NOW);
+    assert!(told.contains(&(DEADLY.content, 2)), "{told:?}");
+    assert!(matches!(tracker.verdict_on(DEADLY, NOW), Verdict::Quarantined { .. }));
+    // As an older build forgets it after a completed request.
+    tracker.clear(DEADLY.content);
+    assert_eq!(tracker.verdict_on(DEADLY, NOW), Verdict::Suspect);
+    tracker.strike(DEADLY.content, NOW);
+    tracker.strike(DEADLY.content, NOW);
+    assert!(matches!(tracker.verdict_on(DEADLY, NOW), Verdict::Quarantined { .. }));
+}
+
 proptest! {
     /// Gateways that receive the same strikes in any order agree.
     #[test]
--- a/crates/store/src/claim.rs
+++ b/crates/store/src/claim.rs
@@ -54,13 +54,27 @@
 pub struct Claim {
     /// Attempt that may run the request.
     pub token: AttemptToken,
-    /// Hash of the request, to reject a key that is reused for another one.
+    /// Hash of the request's content, to reject a key that is reused for another one. Older builds
+    /// compare it alone.
     pub fingerprint: Fingerprint,
+    /// Hash of the whole request; none in rows of older builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<Fingerprint>,
     /// Response, once known.
     #[serde(rename = "answer")]
     pub response: Option<Response>,
 }
 
+impl Claim {
+    /// Whether both are claims of the same request.
+    #[must_use]
+    pub fn is_repeat_of(&self, other: &Self) -> bool {
+        let differs = |(own, other)| own != other;
+        let differs = self.request.zip(other.request).is_some_and(differs);
+        self.fingerprint == other.fingerprint && !differs
+    }
+}
+
 /// Outcome of an attempt to claim.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -57,5 +57,9 @@
     assert_eq!(again.body, first.body);
     let reused = client.call(Method::POST, other, path, &booking, "{\"house\":8}").await.unwrap();
     assert_eq!(reused.code, Some(3003));
+    // The same text in another format is another request, and must not get the stored response.
+    let typed = [&booking[..], &[("content-type", "text/csv")]].concat();
+    let reused = client.call(Method::POST, other, path, &typed, "{\"house\":7}").await.unwrap();
+    assert_eq!(reused.code, Some(3003), "{}", reused.body);
     cluster.gateways[0].process.wait_for_line("\"name\":\"Routed\"").unwrap();
 }
