Soak: workers crash under a request that comes again, beside sound ones that resemble it

With `--crash`, a deadly request comes at any node every 0.2 to 0.9 s; sound ones differ from it in the query, the method or a header field, by the seed, and all carry a field that is new each time. Crashed workers are back after 2 s.

Workers now register their own addresses in such runs.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,6 +1,9 @@
 //! Callers, which reuse their connections until these are closed.
 
-use crate::record::{Call, Kind, Outcome, Prefix};
+use crate::{
+    deadly::Difference,
+    record::{Call, Kind, Outcome, Prefix},
+};
 use fake_host::{Connection, Response};
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
@@ -40,6 +43,8 @@
     addresses: Vec<SocketAddr>,
     count: AtomicU64,
     stopped: AtomicBool,
+    /// Whether deadly requests have ended.
+    calmed: AtomicBool,
     calls: Mutex<Vec<Call>>,
 }
 
@@ -60,6 +65,7 @@
             addresses,
             count: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
+            calmed: AtomicBool::new(false),
             calls: Mutex::default(),
         })
     }
@@ -69,6 +75,17 @@
         self.stopped.store(true, Ordering::Relaxed);
     }
 
+    /// Stops the deadly requests and those that resemble them.
+    pub fn calm(&self) {
+        self.calmed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether they have been stopped.
+    #[must_use]
+    pub fn has_calmed(&self) -> bool {
+        self.calmed.load(Ordering::Relaxed)
+    }
+
     /// Removes and returns the requests recorded so far.
     #[must_use]
     pub fn take_calls(&self) -> Vec<Call> {
@@ -86,9 +103,15 @@
             Kind::Moving(prefix) => (prefix.path(), "key-1", "org-1"),
             Kind::Withdrawn => ("/safe/", "key-3", "org-3"),
             Kind::Metered => ("/safe/", "key-2", "org-2"),
+            Kind::Deadly | Kind::Similar => ("", "key-1", "org-1"),
+        };
+        let is_plain = !matches!(kind, Kind::Deadly | Kind::Similar);
+        let request = if is_plain {
+            fake_host::Request::new(&format!("{path}{attempt}?q={number}"), &attempt)
+        } else {
+            Difference::new(self.seed).request(kind, &attempt, number)
         };
-        let path = format!("{path}{attempt}?q={number}");
-        let mut request = fake_host::Request::new(&path, &attempt)
+        let mut request = request
             .with_header("x-api-key", key)
             .with_header("x-deadline-ms", DEADLINE_MS)
             .with_header("x-retention", "9")
@@ -96,7 +119,7 @@
         if kind.is_stream() {
             request = request.streamed();
         }
-        if !kind.is_repeatable() || random.random_bool(0.3) {
+        if !kind.is_repeatable() || is_plain && random.random_bool(0.3) {
             let length = random.random_range(1..MAX_BODY_BYTES);
             let body: Vec<u8> = attempt.bytes().cycle().take(length).collect();
             request = request.with_body(&body);
@@ -137,6 +160,15 @@
         outcome
     }
 
+    /// Sends one request to a node at random, on a new connection.
+    pub async fn send_one(&self, kind: Kind, random: &mut Pcg64Mcg) {
+        let node = random.random_range(0..self.addresses.len());
+        if let Some(mut connection) = self.connect(node).await {
+            let prepared = self.prepare(kind, random);
+            self.send(&mut connection, node, prepared, None).await;
+        }
+    }
+
     /// Sends one request of each kind to a node and returns the kinds that were not served.
     ///
     /// A refusal over quota counts as served.
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -42,6 +42,12 @@
 /// Allowed overshoot of the quota: a fraction of it (the platform's `quota_overshoot`), plus the
 /// tokens of four seconds, which is the ratio of the platform's `quota_burst` to its lowest rate.
 const QUOTA_OVERSHOOT: (f64, usize) = (0.1, 4 * QUOTA_RATE);
+/// Crashes after which a request that crashes workers must be known.
+const CRASHES: usize = 3;
+/// Such requests that may reach workers later than [`STABLE_TIME`] after them.
+const LATE_DEADLY: usize = 3;
+/// Number of requests from which on their success rate counts.
+const MIN_SAMPLE: usize = 20;
 /// Headers reserved to the system, which must not reach a worker.
 const RESERVED: [&str; 5] = ["x-api-key", "x-retention", "x-pin-ms", "x-kv-backup", "kv-from"];
 /// Statuses that state that a request has not run and never will.
@@ -86,6 +92,8 @@
     violations.extend(check_timeouts(record));
     violations.extend(check_retry_budget(record, &runs));
     violations.extend(check_quota(record));
+    violations.extend(check_deadly(record));
+    violations.extend(check_similar(record));
     violations.extend(record.failed_nodes.iter().map(|detail| violation("FAULT", detail.clone())));
     violations.extend(record.unrecovered.iter().map(|detail| violation("RECOVER", detail.clone())));
     violations
@@ -382,3 +390,48 @@
     (tokens > max)
         .then(|| violation("QUOTA", format!("{tokens} tokens until {at:?}, {max} allowed")))
 }
+
+/// Few requests that crash workers reach these, sent by undisturbed nodes, once the crashes must be
+/// known.
+fn check_deadly(record: &Record) -> Option<Violation> {
+    let known = *record.crashes.get(CRASHES - 1)? + STABLE_TIME;
+    let calls = record.calls.iter().filter(|call| call.kind == Kind::Deadly);
+    let calls: BTreeMap<&str, &Call> = calls.map(|call| (&*call.attempt, call)).collect();
+    let is_late = |run: &&Run| {
+        run.started_at > known
+            && calls.get(&*run.request.attempt).is_some_and(|call| {
+                record.is_node_undisturbed(call.node, call.sent_at, run.started_at, STABLE_TIME)
+            })
+    };
+    let late = record.runs.iter().filter(is_late);
+    let late: BTreeSet<&str> = late.map(|run| &*run.request.attempt).collect();
+    let detail = || format!("{late:?} crashed workers after {known:?}");
+    (late.len() > LATE_DEADLY).then(|| violation("BUDGET", detail()))
+}
+
+/// Sound requests that resemble a deadly one are served at least half as often as others at
+/// undisturbed nodes.
+fn check_similar(record: &Record) -> Option<Violation> {
+    let known = *record.crashes.get(CRASHES - 1)? + 2 * STABLE_TIME;
+    let last = record.calls.iter().filter(|call| call.kind == Kind::Similar);
+    let last = last.map(|call| call.sent_at).max()?;
+    let count = |kind: Kind| {
+        let calls = record.calls.iter().filter(|call| {
+            call.kind == kind
+                && (known..=last).contains(&call.sent_at)
+                && record.is_node_undisturbed(call.node, call.sent_at, call.ended_at, STABLE_TIME)
+        });
+        calls.fold((0, 0), |(sent, served), call| {
+            (sent + 1, served + usize::from(call.outcome.status() == Some(200)))
+        })
+    };
+    let ((similar, similar_served), (other, other_served)) =
+        (count(Kind::Similar), count(Kind::Safe));
+    let too_few = 2 * similar_served * other < other_served * similar;
+    let detail = || {
+        format!(
+            "{similar_served} of {similar} sound requests that resemble a deadly one served, {other_served} of {other} others"
+        )
+    };
+    (similar.min(other) >= MIN_SAMPLE && too_few).then(|| violation("LOST", detail()))
+}
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -11,7 +11,7 @@
     record::{Configuration, Disturbance, Drain, Prefix, Record, Rejection, Run, Scope},
 };
 use anyhow::Result;
-use fake_host::{Fault, Node, Store, Worker, testbed};
+use fake_host::{Fault, Node, Store, Worker, testbed, worker::Deadly};
 use serde_json::{Value, json};
 use std::{
     net::SocketAddr,
@@ -33,6 +33,7 @@
     Process,
     Freeze,
     WorkerFault,
+    Crash,
     Store,
 }
 
@@ -59,6 +60,8 @@
     draining: bool,
     /// Whether its entry was removed although it serves.
     withdrawn: bool,
+    /// Whether it has crashed under a request and is not replaced yet.
+    crashed: bool,
 }
 
 /// Processes, stand-ins and links of a run.
@@ -74,6 +77,8 @@
     prefix: Prefix,
     key_valid: bool,
     ongoing: Vec<(Source, usize)>,
+    /// Requests under which workers crash.
+    deadly: Option<Deadly>,
     record: Record,
 }
 
@@ -88,9 +93,12 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-async fn start_worker(number: usize) -> Result<Worker> {
+async fn start_worker(number: usize, deadly: Option<&Deadly>) -> Result<Worker> {
     let worker = Worker::start(&format!("w-{number}")).await?;
     worker.set_stream(check::STREAM_EVENTS, EVENT_INTERVAL);
+    if let Some(deadly) = deadly {
+        worker.set_deadly(deadly.clone());
+    }
     Ok(worker)
 }
 
@@ -99,7 +107,7 @@
     ///
     /// # Errors
     /// A process or stand-in cannot be started, or a node does not become ready.
-    pub async fn start(program: &Path, size: Size) -> Result<Self> {
+    pub async fn start(program: &Path, size: Size, deadly: Option<Deadly>) -> Result<Self> {
         let mut environment = Self {
             start: Instant::now(),
             nodes: Vec::new(),
@@ -110,10 +118,11 @@
             prefix: Prefix::Here,
             key_valid: true,
             ongoing: Vec::new(),
+            deadly,
             record: Record::default(),
         };
         for number in 0..size.workers {
-            let worker = start_worker(number).await?;
+            let worker = start_worker(number, environment.deadly.as_ref()).await?;
             let link = Link::start(worker.address).await?;
             let service = if number % DESK_WORKER_INTERVAL == 0 { "desk" } else { "llm" };
             environment.workers.push(Endpoint {
@@ -122,6 +131,7 @@
                 service,
                 draining: false,
                 withdrawn: false,
+                crashed: false,
             });
             environment.register(number);
         }
@@ -161,7 +171,10 @@
         let entry = &self.workers[number];
         let state = if entry.draining { "draining" } else { "ready" };
         let mut row = entry.worker.entry(entry.service, ZONES[number % ZONES.len()], state);
-        row["address"] = entry.link.address.to_string().into();
+        // A link would accept connections for a worker that has crashed.
+        if self.deadly.is_none() {
+            row["address"] = entry.link.address.to_string().into();
+        }
         self.store.put("servers", &entry.worker.id(), &row);
     }
 
@@ -347,26 +360,57 @@
     /// Crashes a worker and replaces it at the same address. The replacement runs the other service
     /// if enough workers of the current one remain.
     async fn replace(&mut self, number: usize) -> Result<()> {
-        self.record_disturbance(Scope::Worker(number));
         let service = self.workers[number].service;
         let same = self.workers.iter().filter(|entry| entry.service == service).count();
-        let replacement = start_worker(self.workers.len() + self.replaced.len()).await?;
+        let next = match service {
+            "desk" if same > 1 => "llm",
+            "llm" if same > 2 => "desk",
+            unchanged => unchanged,
+        };
+        self.replace_with(number, next).await
+    }
+
+    /// Replaces workers that have crashed under a request, `after` a time or at once.
+    ///
+    /// # Errors
+    /// No address can be bound.
+    pub async fn replace_crashed(&mut self, after: Option<Duration>) -> Result<()> {
+        for number in 0..self.workers.len() {
+            let entry = &mut self.workers[number];
+            let Some(crashed_at) = entry.worker.crashed_at() else { continue };
+            if !std::mem::replace(&mut entry.crashed, true) {
+                self.begin_disturbance(Source::Crash, Scope::Worker(number));
+                if let Some(disturbance) = self.record.disturbances.last_mut() {
+                    disturbance.from = crashed_at.duration_since(self.start);
+                }
+                self.record.crashes.push(crashed_at.duration_since(self.start));
+            }
+            if after.is_none_or(|after| crashed_at.elapsed() >= after) {
+                self.replace_with(number, self.workers[number].service).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Crashes a worker and replaces it at the same address with one of this service.
+    async fn replace_with(&mut self, number: usize, next: &'static str) -> Result<()> {
+        self.record_disturbance(Scope::Worker(number));
+        let replacement = self.workers.len() + self.replaced.len();
+        let replacement = start_worker(replacement, self.deadly.as_ref()).await?;
         let entry = &mut self.workers[number];
+        let service = std::mem::replace(&mut entry.service, next);
         entry.worker.crash().await;
         entry.link.reset();
         entry.link.set_target(replacement.address);
         let crashed = std::mem::replace(&mut entry.worker, replacement);
-        entry.service = match service {
-            "desk" if same > 1 => "llm",
-            "llm" if same > 2 => "desk",
-            unchanged => unchanged,
-        };
+        entry.crashed = false;
         entry.draining = false;
         entry.withdrawn = false;
         self.store.remove("servers", &crashed.id());
         self.replaced.push((number, service, crashed));
         self.end_drain(number);
         self.register(number);
+        self.end_disturbance(Source::Crash, Scope::Worker(number));
         self.record_disturbance(Scope::Worker(number));
         Ok(())
     }
@@ -480,6 +524,7 @@
             }));
         }
         self.record.runs.sort_by_key(|run| run.started_at);
+        self.record.crashes.sort_unstable();
         self.record
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod caller;
 pub mod check;
+pub mod deadly;
 pub mod environment;
 pub mod plan;
 pub mod proxy;
@@ -24,7 +25,7 @@
 use caller::Pool;
 use check::Violation;
 use environment::Environment;
-use plan::{Plan, Size};
+use plan::{Plan, Size, Worker};
 use record::Kind;
 use std::{
     path::Path,
@@ -37,6 +38,10 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Pause between two attempts to get every kind of request served.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which a worker that has crashed under a request is away.
+const CRASHED_TIME: Duration = Duration::from_secs(2);
+/// Interval at which crashed workers are looked for.
+const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after the last response in which an abandoned request could still run.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
@@ -63,17 +68,34 @@
 /// The environment cannot be set up, or a node cannot be started or signalled.
 pub async fn run(program: &Path, seed: u64, size: Size) -> Result<Report> {
     let plan = Plan::new(seed, size);
-    let mut environment = Environment::start(program, size).await?;
+    let is_deadly = size.workers_do == Worker::Crash;
+    let deadly = is_deadly.then(|| deadly::Difference::new(seed).deadly());
+    let mut environment = Environment::start(program, size, deadly).await?;
     let pool = Pool::new(seed, environment.start, environment.addresses());
     let callers = (0..size.callers).map(|number| {
         let number = u64::try_from(number).unwrap_or(u64::MAX);
         tokio::spawn(caller::run(pool.clone(), number))
     });
-    let callers: Vec<_> = callers.collect();
+    let mut callers: Vec<_> = callers.collect();
+    if is_deadly {
+        for kind in [Kind::Deadly, Kind::Similar] {
+            callers.push(tokio::spawn(deadly::run(pool.clone(), seed, kind)));
+        }
+    }
     for step in &plan.steps {
-        tokio::time::sleep(step.at.saturating_sub(environment.start.elapsed())).await;
+        loop {
+            environment.replace_crashed(Some(CRASHED_TIME)).await?;
+            let left = step.at.saturating_sub(environment.start.elapsed());
+            if left.is_zero() {
+                break;
+            }
+            tokio::time::sleep(if is_deadly { left.min(CRASH_POLL_INTERVAL) } else { left }).await;
+        }
         environment.apply(step.action).await?;
     }
+    pool.calm();
+    tokio::time::sleep(if is_deadly { SETTLE_TIME } else { Duration::ZERO }).await;
+    environment.replace_crashed(None).await?;
     environment.clear_faults().await?;
     let kinds = Kind::all(environment.prefix());
     let recovering = (0..size.nodes).map(|node| tokio::spawn(recover(pool.clone(), node, kinds)));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,9 @@
     /// workers that garble their answers all the time
     #[argh(switch)]
     garble: bool,
+    /// workers that crash under a request that comes again and again
+    #[argh(switch)]
+    crash: bool,
     /// run the seeds that once failed instead
     #[argh(switch)]
     regressions: bool,
@@ -62,7 +65,11 @@
         workers: options.workers,
         callers: options.callers,
         duration: Duration::from_secs(options.seconds),
-        workers_do: if options.garble { Worker::Garble } else { Worker::Fail },
+        workers_do: match options {
+            Options { garble: true, .. } => Worker::Garble,
+            Options { crash: true, .. } => Worker::Crash,
+            _ => Worker::Fail,
+        },
     };
     let cases: Vec<Case> = if options.regressions {
         CASES.to_vec()
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -49,6 +49,9 @@
     Fail,
     /// All the time, with answers that are misplaced, early, late or spoiled.
     Garble,
+    /// As in [`Self::Fail`], and they crash under requests that come again and again, see
+    /// [`crate::deadly`].
+    Crash,
 }
 
 /// Identifies a link by the two sides that it connects.
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -26,6 +26,10 @@
     Withdrawn,
     /// May run more than once; its organisation has a quota.
     Metered,
+    /// May run more than once; crashes each worker that begins to run it.
+    Deadly,
+    /// May run more than once; differs from the deadly one in one respect.
+    Similar,
 }
 
 impl Kind {
@@ -244,6 +248,8 @@
     pub configurations: Vec<Configuration>,
     /// Drains of workers.
     pub drains: Vec<Drain>,
+    /// Times at which workers crashed under the deadly request, in order.
+    pub crashes: Vec<Duration>,
     /// Nodes that exited unexpectedly or logged a panic.
     pub failed_nodes: Vec<Box<str>>,
     /// Nodes with the kinds of request that they still did not serve after all faults had ended.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -191,3 +191,45 @@
     }
     assert_eq!(violated_rules(&record), ["QUOTA"]);
 }
+
+/// Record of requests that are sent every second, all of which run.
+fn record_of(requests: impl Iterator<Item = (Kind, u32)>) -> Record {
+    let mut record = valid_record(Kind::Safe);
+    for (kind, second) in requests {
+        let (attempt, at) = (format!("{kind:?}-{second}"), SECOND * second);
+        record.calls.push(call(kind, &attempt, at));
+        record.runs.push(run(kind, &attempt, at));
+    }
+    record
+}
+
+#[test]
+fn deadly_requests_that_come_late_are_found() {
+    let mut record = record_of((1..12).map(|second| (Kind::Deadly, second)));
+    record.crashes = vec![SECOND, 2 * SECOND];
+    assert!(violated_rules(&record).is_empty(), "two crashes");
+    // Four of them were sent later than 7 s.
+    record.crashes.push(3 * SECOND);
+    assert_eq!(violated_rules(&record), ["BUDGET"]);
+    let disturbance =
+        Disturbance { scope: Scope::Node(0), from: 11 * SECOND, until: Some(11 * SECOND) };
+    record.disturbances.push(disturbance);
+    assert!(
+        violated_rules(&record).is_empty(),
+        "the last one, of a disturbed node, does not count"
+    );
+}
+
+#[test]
+fn sound_requests_that_are_held_back_are_found() {
+    let kinds = [Kind::Similar, Kind::Safe];
+    let requests = kinds.into_iter().flat_map(|kind| (10..40).map(move |second| (kind, second)));
+    let mut record = record_of(requests);
+    record.crashes = vec![SECOND; 3];
+    assert!(violated_rules(&record).is_empty());
+    let similar = record.calls.iter_mut().filter(|call| call.kind == Kind::Similar);
+    for call in similar.take(16) {
+        call.outcome = refused(503);
+    }
+    assert_eq!(violated_rules(&record), ["LOST"]);
+}
