Strikes: say which of those on a content count

A comment only, after reading the change as a newcomer: the head of sched::strike said too shortly what older builds are told and which strikes count.

--- a/crates/sched/src/strike.rs
+++ b/crates/sched/src/strike.rs
@@ -8,8 +8,9 @@
 //! doubles the length of the quarantine.
 //!
 //! Older builds recognise a request by its content alone, see [`Identity`]. They
-//! are told of strikes on it, and their strikes on it count; others have the
-//! content in common with sound requests, and do not.
+//! are told of each strike on the content as well. Of the strikes on a content,
+//! only those that older builds gave count against a request: the others are
+//! known by request, and sound requests may have the same content.
 
 use std::{collections::HashMap, time::Duration};
 use units::{Fingerprint, Time, score};
